--- /dev/null
+++ b/cmake/TestMain.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/packages/core/fuchsialb/Config.h
@@ -0,0 +1,7 @@
+#pragma once
+
+/// \file
+/// What operators supply: inventory and rules, checked, compared and encoded.
+
+#include "src/Config/Configuration.h"
+#include "src/Config/ConfigurationCodec.h"
--- /dev/null
+++ b/packages/core/fuchsialb/Control.h
@@ -0,0 +1,6 @@
+#pragma once
+
+/// \file
+/// Configuration in force and orders to endpoints.
+
+#include "src/Control/ConfigurationSpread.h"
--- /dev/null
+++ b/packages/core/fuchsialb/src/Member/Membership.h
@@ -0,0 +1,119 @@
+#pragma once
+
+#include "../Base/Clock.h"
+#include "../Base/Ids.h"
+#include "../Base/Random.h"
+#include "../Sched/GroupScheduler.h"
+
+#include <absl/status/statusor.h>
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace fuchsialb {
+
+enum class MemberState : unsigned char {
+    Alive,
+    Suspect,
+    /// Alive, but takes no new work.
+    Leaving,
+    Dead,
+};
+
+/// \brief What one daemon knows of another.
+struct Member {
+    HostId host;
+    DataCentreId dataCentre;
+    /// "IP:port" of the peer transport.
+    std::string address;
+    MemberState state = MemberState::Alive;
+    Incarnation incarnation;
+    ConfigurationVersion configuration;
+
+    bool operator==(const Member&) const = default;
+};
+
+/// \brief Probe of the failure detector; `members` are piggy-backed updates.
+struct Probe {
+    std::uint64_t sequence = 0;
+    /// Set when the sender probes on behalf of another member.
+    HostId onBehalfOf;
+    /// The member to probe: the receiver, or a third one for an indirect probe.
+    HostId subject;
+    ConfigurationVersion configuration;
+    std::vector<Member> members;
+    std::vector<GroupLoad> loads;
+};
+
+struct ProbeReply {
+    std::uint64_t sequence = 0;
+    HostId subject;
+    ConfigurationVersion configuration;
+    std::vector<Member> members;
+    std::vector<GroupLoad> loads;
+};
+
+using MemberMessage = std::variant<Probe, ProbeReply>;
+
+/// \brief A message and the member it goes to.
+struct MemberSend {
+    HostId to;
+    std::string address;
+    MemberMessage message;
+};
+
+struct MembershipOptions {
+    Duration probePeriod { std::chrono::seconds(1) };
+    Duration probeTimeout { std::chrono::milliseconds(400) };
+    std::uint32_t indirectProbes = 3;
+    Duration suspicion { std::chrono::seconds(4) };
+    std::uint32_t maxUpdatesPerMessage = 8;
+};
+
+/// \brief An entry of the platform's lagging host list; a hint, never proof.
+struct ListedHost {
+    HostId host;
+    DataCentreId dataCentre;
+    std::string address;
+    bool leaving = false;
+
+    bool operator==(const ListedHost&) const = default;
+};
+
+/// \brief SWIM-like failure detector inside a data centre, with sparse links between data centres.
+class Membership {
+public:
+    static absl::StatusOr<std::unique_ptr<Membership>> create(
+        Member self, MembershipOptions options, const Clock& clock, Random& random);
+
+    virtual ~Membership() = default;
+
+    virtual void onMessage(const HostId& from, const MemberMessage& message) = 0;
+    virtual void onHostList(const std::vector<ListedHost>& hosts) = 0;
+    /// Announces that this host takes no new work.
+    virtual void leave() = 0;
+    virtual void setConfiguration(ConfigurationVersion version) = 0;
+    /// Sets the loads of the groups that this host schedules, to be advertised.
+    virtual void setLoads(std::vector<GroupLoad> loads) = 0;
+    /// Drives probes and suspicion. Called at least every 50 ms.
+    virtual void tick() = 0;
+
+    virtual const Member& self() const = 0;
+    /// \return All known members but the dead, ordered by host id, this one included.
+    virtual const std::vector<Member>& members() const = 0;
+    /// \return Ids of members of `dataCentre` that take new work (alive or suspect), ordered.
+    virtual std::vector<HostId> accepting(const DataCentreId& dataCentre) const = 0;
+    /// \return The latest advertised load of a group and its age, or null.
+    virtual const GroupLoad* load(const GroupId& group) const = 0;
+    /// \return A number that changes whenever `members` or `accepting` changes.
+    virtual std::uint64_t revision() const = 0;
+    virtual std::vector<MemberSend> takeSends() = 0;
+};
+
+/// \return The `count` hosts with the highest rendezvous weight for `key`, best first.
+std::vector<HostId> rendezvous(std::string_view key, const std::vector<HostId>& hosts, std::size_t count);
+
+} // namespace fuchsialb
--- /dev/null
+++ b/packages/net/fuchsialb/Net.h
@@ -0,0 +1,8 @@
+#pragma once
+
+/// \file
+/// Input and output shared by the binaries: clock, logger, rings, HTTP client and peer transport.
+
+#include "src/Net/Logger.h"
+#include "src/Net/Ring.h"
+#include "src/Net/SystemClock.h"
--- /dev/null
+++ b/packages/net/fuchsialb/src/Net/HttpClient.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "fuchsialb/Base.h"
+
+#include <absl/status/status.h>
+#include <absl/status/statusor.h>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace fuchsialb {
+
+using HttpHeaders = std::vector<std::pair<std::string, std::string>>;
+
+struct HttpRequest {
+    std::string method = "GET";
+    /// "http://IP:port/path?query".
+    std::string url;
+    HttpHeaders headers;
+    std::string body;
+    /// Longest time for the whole exchange; 0 for none (streams).
+    Duration timeout { 0 };
+    Duration connectTimeout { std::chrono::milliseconds(500) };
+    /// The exchange fails with `ConnectionSilent` when nothing arrives for this long; 0 for no limit.
+    Duration silenceTimeout { 0 };
+    /// Forces a connection of its own, for probes of a connection that may have gone silent.
+    bool freshConnection = false;
+};
+
+struct HttpResponse {
+    std::uint32_t status = 0;
+    /// Names in lower case.
+    HttpHeaders headers;
+    std::string body;
+};
+
+/// \brief How far an exchange got, for proofs that nothing ran.
+struct HttpFailure {
+    /// `ConnectFailed`, `ConnectionLost`, `ConnectionSilent`, `Timeout`, `Cancelled` or `BodyTooLarge`.
+    absl::Status status;
+    /// No byte of the request was written to a socket.
+    bool notSent = false;
+};
+
+using HttpExchangeId = internal::StrongId<struct HttpExchangeTag, std::uint64_t>;
+
+/// \brief Callbacks of one exchange; all run on the client's own thread.
+struct HttpHandlers {
+    /// Called for each piece of a streamed body; when empty the body is collected in the response.
+    std::function<void(std::string_view piece)> onPiece;
+    std::function<void(HttpResponse response)> onResponse;
+    std::function<void(HttpFailure failure)> onFailure;
+};
+
+/// \brief HTTP/1.1 client on one thread over libcurl's multi interface; connections are kept alive and reused.
+class HttpClient {
+public:
+    struct Options {
+        /// Most exchanges that wait or run at once.
+        std::size_t capacity = 16384;
+        Bytes maxBody { 16 * 1024 * 1024 };
+    };
+
+    static absl::StatusOr<std::unique_ptr<HttpClient>> create(Options options);
+
+    virtual ~HttpClient() = default;
+
+    /// Starts an exchange from any thread; exactly one of `onResponse` and `onFailure` follows.
+    /// \return `QueueFull` when too many exchanges wait.
+    virtual absl::StatusOr<HttpExchangeId> start(HttpRequest request, HttpHandlers handlers) = 0;
+    /// Ends an exchange early; it fails with `Cancelled` unless it ended before.
+    virtual void cancel(HttpExchangeId exchange) = 0;
+};
+
+} // namespace fuchsialb
--- /dev/null
+++ b/packages/net/fuchsialb/src/Net/HttpServer.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "HttpClient.h"
+
+#include <absl/status/statusor.h>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace fuchsialb {
+
+/// \brief A request as the server read it, whole.
+struct ServerRequest {
+    std::string method;
+    /// Without the query.
+    std::string path;
+    std::string query;
+    /// Names in lower case.
+    HttpHeaders headers;
+    std::string body;
+
+    /// \return The first header of that name (lower case), or null.
+    const std::string* header(std::string_view name) const;
+    /// \return The decoded value of a query parameter, or an empty string.
+    std::string parameter(std::string_view name) const;
+};
+
+/// \brief Answer side of one request; callable from any thread, safe after the connection is gone.
+class HttpReply {
+public:
+    virtual ~HttpReply() = default;
+
+    /// Sends the whole answer.
+    virtual void send(HttpResponse response) = 0;
+    /// Starts a chunked answer, sent on with `write` and ended with `finish`.
+    virtual void begin(std::uint32_t status, HttpHeaders headers) = 0;
+    virtual void write(std::string piece) = 0;
+    virtual void finish() = 0;
+    /// Closes the connection without finishing the answer, so that it can't look complete.
+    virtual void abort() = 0;
+    /// Sets a hook that runs once, on the server's thread, when the peer closes the connection before the answer ended.
+    virtual void onClosed(std::function<void()> hook) = 0;
+};
+
+/// \brief HTTP/1.1 server on one thread over RESTinio and standalone Asio.
+class HttpServer {
+public:
+    struct Options {
+        std::string address = "127.0.0.1";
+        /// 0 picks a free port.
+        std::uint16_t port = 0;
+        Bytes maxBody { 8 * 1024 * 1024 };
+        Bytes maxHeaders { 32 * 1024 };
+        std::size_t maxConnections = 4096;
+        /// A client that sends its request more slowly than this is cut off.
+        Duration readTimeout { std::chrono::seconds(10) };
+        /// A client that takes a written piece more slowly than this is cut off.
+        Duration writeTimeout { std::chrono::seconds(10) };
+    };
+
+    /// Runs on the server's thread; must not block.
+    using Handler = std::function<void(ServerRequest request, std::shared_ptr<HttpReply> reply)>;
+
+    /// Binds and starts.
+    /// \return `InvalidFlag` when the address can't be bound.
+    static absl::StatusOr<std::unique_ptr<HttpServer>> create(Options options, Handler handler);
+
+    /// Stops and joins the thread.
+    virtual ~HttpServer() = default;
+
+    virtual std::uint16_t port() const = 0;
+    /// Takes no more connections; those that are open go on.
+    virtual void stopListening() = 0;
+};
+
+} // namespace fuchsialb
--- /dev/null
+++ b/packages/wire/fuchsialb/Wire.h
@@ -0,0 +1,6 @@
+#pragma once
+
+/// \file
+/// Encoding and authentication of messages between daemons.
+
+#include "src/Wire/Protocol.h"
