Add the router that joins entry role, scheduler role and control

Cause: the modules need one sans-I/O object that a daemon or a test drives. Peer messages gain Accepted, Inquire and NotKnown, so that a lost message is made good. Before: interfaces only. Conclusion: the daemon can be written against Router.

--- a/packages/core/fuchsialb/Router.h
+++ b/packages/core/fuchsialb/Router.h
@@ -7,3 +7,4 @@
 #include "src/Router/Event.h"
 #include "src/Router/Message.h"
 #include "src/Router/Request.h"
+#include "src/Router/Router.h"
--- a/packages/core/fuchsialb/src/Router/Message.h
+++ b/packages/core/fuchsialb/src/Router/Message.h
@@ -11,36 +11,67 @@
 namespace fuchsialb {
 
 /// \brief An entry daemon hands a request to the scheduler of `group`.
+///
+/// Sent again until it is accepted; a scheduler that knows the submission answers as to `Inquire`.
 struct Submit {
     GroupId group;
     Request request;
+    /// Number of tokens of this submission that the entry daemon has.
+    std::uint32_t received = 0;
+};
+
+/// \brief The scheduler has taken the request over.
+struct Accepted {
+    RequestId request;
+    std::uint32_t submission = 1;
+};
+
+/// \brief The entry daemon has heard nothing for a while or has missed a message.
+///
+/// Answered with `Accepted` and everything from `received` on, so that a message lost on a broken connection is made
+/// good, or with `NotKnown`.
+struct Inquire {
+    RequestId request;
+    std::uint32_t submission = 1;
+    /// Number of tokens of this submission that the entry daemon has.
+    std::uint32_t received = 0;
+};
+
+/// \brief The scheduler does not know the submission, for instance because it was restarted.
+struct NotKnown {
+    RequestId request;
+    std::uint32_t submission = 1;
 };
 
 /// \brief Tokens for the caller, in order from `position` on.
 struct TokensDelivered {
     RequestId request;
+    std::uint32_t submission = 1;
     std::uint32_t position = 0;
     std::vector<std::string> tokens;
 };
 
-/// \brief The one final answer of a submitted request.
+/// \brief The one final answer of a submission.
 struct Finished {
     RequestId request;
+    std::uint32_t submission = 1;
     Result result;
 };
 
 /// \brief The request was not started; the entry daemon may submit it elsewhere.
 struct Returned {
     RequestId request;
+    std::uint32_t submission = 1;
     Reason reason = Reason::OwnershipMoved;
 };
 
-/// \brief The caller of a submitted request went away.
+/// \brief The entry daemon no longer wants the answer of a submission.
 struct CancelRequest {
     RequestId request;
+    std::uint32_t submission = 1;
 };
 
-using PeerMessage = std::variant<Probe, ProbeReply, ConfigPull, ConfigChunk, Submit, TokensDelivered, Finished,
-    Returned, CancelRequest>;
+using PeerMessage = std::variant<Probe, ProbeReply, ConfigPull, ConfigChunk, Submit, Accepted, Inquire, NotKnown,
+    TokensDelivered, Finished, Returned, CancelRequest>;
 
 } // namespace fuchsialb
--- a/packages/core/fuchsialb/src/Router/Request.h
+++ b/packages/core/fuchsialb/src/Router/Request.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace fuchsialb {
 
@@ -28,11 +29,16 @@
     std::uint64_t bodyDigest = 0;
     /// W3C traceparent of the span that this hop belongs to.
     std::string traceParent;
+    /// How often the entry daemon has submitted the request, from 1 on. Epochs of a later submission are above those of
+    /// an earlier one, so engines refuse what is left of the earlier one.
+    std::uint32_t submission = 1;
 
     /// Model only.
     std::string prompt;
     std::uint32_t promptTokens = 0;
     std::uint32_t maxTokens = 0;
+    /// Tokens that the caller already has from an earlier submission; the run goes on behind them.
+    std::vector<std::string> generated;
 
     /// Plain service only.
     std::string method;
--- a/packages/core/fuchsialb/src/Sched/GroupScheduler.h
+++ b/packages/core/fuchsialb/src/Sched/GroupScheduler.h
@@ -53,6 +53,9 @@
 /// \brief Load that a group advertises to entry daemons.
 struct GroupLoad {
     GroupId group;
+    /// The group's scheduler, so that daemons of other data centres can reach it.
+    HostId scheduler;
+    std::string address;
     /// Predicted queue wait of a new request by rank.
     RankTable<Duration> wait;
     std::uint32_t running = 0;
