--- a/packages/core/fuchsialb/src/Router/Request.h
+++ b/packages/core/fuchsialb/src/Router/Request.h
@@ -65,6 +65,8 @@
     bool replayed = false;
     /// Model only.
     std::uint32_t generatedTokens = 0;
+    /// Model only: why generation ended, as the engine said.
+    std::string finishReason;
 
     bool operator==(const Result&) const = default;
 };
--- /dev/null
+++ b/packages/daemon/fuchsialb/src/Daemon/Settings.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "fuchsialb/Base.h"
+
+#include <absl/status/statusor.h>
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace fuchsialb {
+
+/// \brief An "IP:port" pair, checked.
+struct SocketAddress {
+    std::string ip;
+    std::uint16_t port = 0;
+
+    std::string text() const;
+    bool operator==(const SocketAddress&) const = default;
+};
+
+/// \brief Everything that a daemon is told at its start, checked.
+struct Settings {
+    HostId host;
+    DataCentreId dataCentre;
+    std::string fleet;
+    std::string fleetKey;
+    std::string previousFleetKey;
+    SocketAddress listen;
+    SocketAddress adminListen;
+    SocketAddress peerListen;
+    /// Base URL of the platform's service.
+    std::string store;
+    /// Peers to ask when the platform's host list can't be had: "host-id@data-centre@IP:port".
+    std::vector<std::string> seeds;
+    Bytes maxBody { 0 };
+    Bytes maxHeaders { 0 };
+    std::uint32_t maxConnections = 0;
+    Duration clientTimeout { 0 };
+    Duration hostListPeriod { 0 };
+    Duration drainTimeout { 0 };
+    /// Fraction of requests whose spans are logged; failed ones always are.
+    double traceSample = 0;
+    std::uint32_t logRate = 0;
+    std::optional<std::uint64_t> seed;
+};
+
+/// \brief Result of reading the command line: settings, or a text to print and exit.
+struct CommandLine {
+    std::optional<Settings> settings;
+    std::string text;
+};
+
+/// \param environment Looks a variable up; none when it is not set.
+/// \return `InvalidFlag` with a line that names the flag, the value and the accepted range.
+absl::StatusOr<CommandLine> parseCommandLine(const std::vector<std::string>& arguments,
+    const std::function<std::optional<std::string>(const std::string&)>& environment);
+
+/// \return `InvalidFlag` unless `text` is an IPv4 or bracketed IPv6 address with a port of 1 to 65535.
+absl::StatusOr<SocketAddress> parseSocketAddress(const std::string& text);
+
+} // namespace fuchsialb
--- /dev/null
+++ b/packages/daemon/main.cpp
@@ -0,0 +1,1 @@
+int main() { return 0; }
--- a/packages/net/fuchsialb/Net.h
+++ b/packages/net/fuchsialb/Net.h
@@ -3,6 +3,8 @@
 /// \file
 /// Input and output shared by the binaries: clock, logger, rings, HTTP client and peer transport.
 
+#include "src/Net/HttpClient.h"
+#include "src/Net/HttpServer.h"
 #include "src/Net/Logger.h"
 #include "src/Net/Ring.h"
 #include "src/Net/SystemClock.h"
