--- a/packages/wire/fuchsialb/Wire.h
+++ b/packages/wire/fuchsialb/Wire.h
@@ -3,4 +3,7 @@
 /// \file
 /// Encoding and authentication of messages between daemons.
 
+#include "src/Wire/Envelope.h"
+#include "src/Wire/PeerMessageCodec.h"
 #include "src/Wire/Protocol.h"
+#include "src/Wire/WireLimits.h"
--- /dev/null
+++ b/packages/wire/fuchsialb/src/Wire/PeerMessageDecode.cpp
@@ -0,0 +1,264 @@
+#include "PeerMessageCodec.h"
+#include "WireLimits.h"
+
+#include <peer.pb.h>
+
+#include <fmt/format.h>
+
+#include <limits>
+#include <optional>
+
+namespace fuchsialb {
+
+namespace {
+
+    constexpr std::uint32_t minHttpStatus = 100;
+    constexpr std::uint32_t maxHttpStatus = 999;
+
+    /// \brief Reads fields and keeps the first fault; after a fault the values read are not used.
+    class Decoder {
+    public:
+        const absl::Status& status() const { return m_status; }
+
+        void require(bool valid, std::string_view what)
+        {
+            if (!valid && m_status.ok())
+                m_status = error(Reason::MalformedMessage, what);
+        }
+
+        template <typename Enum> Enum enumerator(std::uint32_t value, Enum last, std::string_view field)
+        {
+            const auto limit = static_cast<std::uint32_t>(last);
+            if (value <= limit)
+                return static_cast<Enum>(value);
+            require(false, fmt::format("{} is {}, accepted are 0 to {}", field, value, limit));
+            return last;
+        }
+
+        Duration duration(std::uint64_t micros, std::string_view field)
+        {
+            if (micros <= static_cast<std::uint64_t>(internal::maxDuration.count()))
+                return Duration(static_cast<Duration::rep>(micros));
+            require(false, fmt::format("{} is {} us, longer than one week", field, micros));
+            return Duration(0);
+        }
+
+        std::string text(const std::string& value, std::size_t limit, std::string_view field)
+        {
+            if (value.size() > limit)
+                require(false, fmt::format("{} has {} bytes, accepted are {}", field, value.size(), limit));
+            return value;
+        }
+
+        /// Reads an id that must not be empty.
+        template <typename Id> Id id(const std::string& value, std::string_view field)
+        {
+            if (value.empty())
+                require(false, fmt::format("{} is empty", field));
+            return Id(text(value, internal::maxIdBytes, field));
+        }
+
+        Bits128 bits(bool present, const wire::Bits128& value, std::string_view field)
+        {
+            if (!present)
+                require(false, fmt::format("{} is missing", field));
+            return { value.high(), value.low() };
+        }
+
+        template <typename Parent> RequestId requestId(const Parent& parent)
+        {
+            return RequestId(bits(parent.has_request(), parent.request(), "request id"));
+        }
+
+    private:
+        absl::Status m_status;
+    };
+
+    Member decodeMember(Decoder& in, const wire::Member& from)
+    {
+        Member to;
+        to.host = in.id<HostId>(from.host(), "member.host");
+        to.dataCentre = in.id<DataCentreId>(from.data_centre(), "member.data_centre");
+        to.address = in.text(from.address(), internal::maxAddressBytes, "member.address");
+        to.state = in.enumerator(from.state(), MemberState::Dead, "member.state");
+        to.incarnation = Incarnation(from.incarnation());
+        to.configuration = ConfigurationVersion(from.configuration());
+        return to;
+    }
+
+    GroupLoad decodeLoad(Decoder& in, const wire::GroupLoad& from)
+    {
+        GroupLoad to;
+        to.group = in.id<GroupId>(from.group(), "load.group");
+        in.require(
+            from.wait_us_size() == static_cast<int>(rankCount), "load.wait_us must have one value for each rank");
+        for (int i = 0; i < from.wait_us_size() && i < static_cast<int>(rankCount); ++i)
+            to.wait[static_cast<Rank>(i)] = in.duration(from.wait_us(i), "load.wait_us");
+        to.running = from.running();
+        to.slots = from.slots();
+        return to;
+    }
+
+    template <typename To, typename From> To decodeGossip(Decoder& in, const From& from)
+    {
+        To to;
+        to.sequence = from.sequence();
+        to.subject = in.id<HostId>(from.subject(), "subject");
+        to.configuration = ConfigurationVersion(from.configuration());
+        in.require(from.members_size() <= internal::maxMembers, "too many members");
+        in.require(from.loads_size() <= internal::maxLoads, "too many loads");
+        if (!in.status().ok())
+            return to;
+        for (const wire::Member& member : from.members())
+            to.members.push_back(decodeMember(in, member));
+        for (const wire::GroupLoad& load : from.loads())
+            to.loads.push_back(decodeLoad(in, load));
+        return to;
+    }
+
+    Probe decode(Decoder& in, const wire::Probe& from)
+    {
+        Probe to = decodeGossip<Probe>(in, from);
+        to.onBehalfOf = HostId(in.text(from.on_behalf_of(), internal::maxIdBytes, "on_behalf_of"));
+        return to;
+    }
+
+    ProbeReply decode(Decoder& in, const wire::ProbeReply& from) { return decodeGossip<ProbeReply>(in, from); }
+
+    ConfigPull decode(Decoder& in, const wire::ConfigPull& from)
+    {
+        in.require(from.offset() <= internal::maxConfigurationBytes, "config_pull.offset is beyond any configuration");
+        return { ConfigurationVersion(from.version()), from.offset() };
+    }
+
+    ConfigChunk decode(Decoder& in, const wire::ConfigChunk& from)
+    {
+        ConfigChunk to;
+        to.version = ConfigurationVersion(from.version());
+        to.offset = from.offset();
+        to.total = from.total();
+        to.digest = in.bits(from.has_digest(), from.digest(), "config_chunk.digest");
+        to.bytes = in.text(from.bytes(), internal::maxChunkBytes, "config_chunk.bytes");
+        in.require(to.total <= internal::maxConfigurationBytes, "config_chunk.total is larger than any configuration");
+        in.require(to.offset <= to.total && to.bytes.size() <= to.total - to.offset, "config_chunk exceeds its total");
+        return to;
+    }
+
+    Request decodeRequest(Decoder& in, const wire::Request& from)
+    {
+        Request to;
+        to.id = RequestId(in.bits(from.has_id(), from.id(), "request.id"));
+        to.organisation = in.id<OrganisationId>(from.organisation(), "request.organisation");
+        to.rank = in.enumerator(from.rank(), Rank::Summary, "request.rank");
+        to.kind = in.enumerator(from.kind(), TargetKind::Service, "request.kind");
+        to.target = in.id<TargetId>(from.target(), "request.target");
+        if (from.has_time_left_us())
+            to.timeLeft = in.duration(from.time_left_us(), "request.time_left_us");
+        to.idempotent = from.idempotent();
+        to.idempotencyKey = in.text(from.idempotency_key(), internal::maxHeaderBytes, "request.idempotency_key");
+        in.require(to.idempotent || !to.idempotencyKey.empty(), "a non-idempotent request has no idempotency_key");
+        to.bodyDigest = from.body_digest();
+        to.traceParent = in.text(from.trace_parent(), internal::maxHeaderBytes, "request.trace_parent");
+        to.prompt = from.prompt();
+        to.promptTokens = from.prompt_tokens();
+        to.maxTokens = from.max_tokens();
+        to.method = in.text(from.method(), internal::maxIdBytes, "request.method");
+        to.path = in.text(from.path(), internal::maxHeaderBytes, "request.path");
+        to.contentType = in.text(from.content_type(), internal::maxHeaderBytes, "request.content_type");
+        to.body = from.body();
+        return to;
+    }
+
+    Result decodeResult(Decoder& in, const wire::Result& from)
+    {
+        Result to;
+        to.outcome = in.enumerator(from.outcome(), Outcome::Unknown, "result.outcome");
+        to.reason = in.enumerator(from.reason(), Reason::Internal, "result.reason");
+        to.detail = in.text(from.detail(), internal::maxDetailBytes, "result.detail");
+        if (from.has_retry_after_us())
+            to.retryAfter = in.duration(from.retry_after_us(), "result.retry_after_us");
+        to.httpStatus = from.http_status();
+        in.require(to.httpStatus == 0 || (to.httpStatus >= minHttpStatus && to.httpStatus <= maxHttpStatus),
+            "result.http_status must be 0 or 100 to 999");
+        to.contentType = in.text(from.content_type(), internal::maxHeaderBytes, "result.content_type");
+        to.body = from.body();
+        to.replayed = from.replayed();
+        to.generatedTokens = from.generated_tokens();
+        return to;
+    }
+
+    Submit decode(Decoder& in, const wire::Submit& from)
+    {
+        in.require(from.has_request(), "submit.request is missing");
+        return { in.id<GroupId>(from.group(), "submit.group"), decodeRequest(in, from.request()) };
+    }
+
+    TokensDelivered decode(Decoder& in, const wire::TokensDelivered& from)
+    {
+        TokensDelivered to { in.requestId(from), from.position(), {} };
+        in.require(from.tokens_size() <= internal::maxTokensPerMessage, "too many tokens");
+        const auto count = static_cast<std::uint32_t>(from.tokens_size());
+        in.require(
+            from.position() <= std::numeric_limits<std::uint32_t>::max() - count, "position of a token is too large");
+        if (in.status().ok())
+            to.tokens.assign(from.tokens().begin(), from.tokens().end());
+        return to;
+    }
+
+    Finished decode(Decoder& in, const wire::Finished& from)
+    {
+        in.require(from.has_result(), "finished.result is missing");
+        return { in.requestId(from), decodeResult(in, from.result()) };
+    }
+
+    Returned decode(Decoder& in, const wire::Returned& from)
+    {
+        return { in.requestId(from), in.enumerator(from.reason(), Reason::Internal, "returned.reason") };
+    }
+
+    CancelRequest decode(Decoder& in, const wire::CancelRequest& from) { return { in.requestId(from) }; }
+
+    PeerMessage decodeBody(Decoder& in, const wire::Body& body)
+    {
+        switch (body.kind_case()) {
+        case wire::Body::kProbe:
+            return decode(in, body.probe());
+        case wire::Body::kProbeReply:
+            return decode(in, body.probe_reply());
+        case wire::Body::kSubmit:
+            return decode(in, body.submit());
+        case wire::Body::kTokens:
+            return decode(in, body.tokens());
+        case wire::Body::kFinished:
+            return decode(in, body.finished());
+        case wire::Body::kReturned:
+            return decode(in, body.returned());
+        case wire::Body::kCancel:
+            return decode(in, body.cancel());
+        case wire::Body::kConfigPull:
+            return decode(in, body.config_pull());
+        case wire::Body::kConfigChunk:
+            return decode(in, body.config_chunk());
+        case wire::Body::KIND_NOT_SET:
+            break;
+        }
+        in.require(false, "message has no known kind");
+        return PeerMessage();
+    }
+
+} // namespace
+
+absl::StatusOr<PeerMessage> decodePeerMessage(std::string_view bytes)
+{
+    wire::Body body;
+    if (bytes.size() > static_cast<std::size_t>(std::numeric_limits<int>::max())
+        || !body.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
+        return error(Reason::MalformedMessage, "body is not a peer message");
+    Decoder in;
+    PeerMessage message = decodeBody(in, body);
+    if (!in.status().ok())
+        return in.status();
+    return message;
+}
+
+} // namespace fuchsialb
--- /dev/null
+++ b/packages/wire/fuchsialb/src/Wire/PeerMessageEncode.cpp
@@ -0,0 +1,164 @@
+#include "PeerMessageCodec.h"
+#include "WireLimits.h"
+
+#include <peer.pb.h>
+
+#include <algorithm>
+#include <variant>
+
+namespace fuchsialb {
+
+namespace {
+
+    std::uint64_t micros(Duration duration)
+    {
+        return static_cast<std::uint64_t>(std::clamp(duration, Duration(0), internal::maxDuration).count());
+    }
+
+    template <typename Enum> std::uint32_t number(Enum value) { return static_cast<std::uint32_t>(value); }
+
+    // A text of an endpoint that is too long is cut: the message must not be dropped by its receiver.
+    std::string cut(const std::string& text, std::size_t limit) { return text.substr(0, limit); }
+
+    void encode(const Bits128& from, wire::Bits128& to)
+    {
+        to.set_high(from.high);
+        to.set_low(from.low);
+    }
+
+    void encode(const Member& from, wire::Member& to)
+    {
+        to.set_host(from.host.value());
+        to.set_data_centre(from.dataCentre.value());
+        to.set_address(from.address);
+        to.set_state(number(from.state));
+        to.set_incarnation(from.incarnation.value());
+        to.set_configuration(from.configuration.value());
+    }
+
+    void encode(const GroupLoad& from, wire::GroupLoad& to)
+    {
+        to.set_group(from.group.value());
+        for (const Rank rank : allRanks)
+            to.add_wait_us(micros(from.wait[rank]));
+        to.set_running(from.running);
+        to.set_slots(from.slots);
+    }
+
+    template <typename From, typename To> void encodeGossip(const From& from, To& to)
+    {
+        to.set_sequence(from.sequence);
+        to.set_subject(from.subject.value());
+        to.set_configuration(from.configuration.value());
+        for (const Member& member : from.members)
+            encode(member, *to.add_members());
+        for (const GroupLoad& load : from.loads)
+            encode(load, *to.add_loads());
+    }
+
+    void encode(const Request& from, wire::Request& to)
+    {
+        encode(from.id.value(), *to.mutable_id());
+        to.set_organisation(from.organisation.value());
+        to.set_rank(number(from.rank));
+        to.set_kind(number(from.kind));
+        to.set_target(from.target.value());
+        if (from.timeLeft)
+            to.set_time_left_us(micros(*from.timeLeft));
+        to.set_idempotent(from.idempotent);
+        to.set_idempotency_key(from.idempotencyKey);
+        to.set_body_digest(from.bodyDigest);
+        to.set_trace_parent(from.traceParent);
+        to.set_prompt(from.prompt);
+        to.set_prompt_tokens(from.promptTokens);
+        to.set_max_tokens(from.maxTokens);
+        to.set_method(from.method);
+        to.set_path(from.path);
+        to.set_content_type(from.contentType);
+        to.set_body(from.body);
+    }
+
+    void encode(const Result& from, wire::Result& to)
+    {
+        to.set_outcome(number(from.outcome));
+        to.set_reason(number(from.reason));
+        to.set_detail(cut(from.detail, internal::maxDetailBytes));
+        if (from.retryAfter)
+            to.set_retry_after_us(micros(*from.retryAfter));
+        to.set_http_status(from.httpStatus);
+        to.set_content_type(cut(from.contentType, internal::maxHeaderBytes));
+        to.set_body(from.body);
+        to.set_replayed(from.replayed);
+        to.set_generated_tokens(from.generatedTokens);
+    }
+
+    /// \brief Fills the alternative of `Body` that belongs to a message.
+    struct BodyEncoder {
+        wire::Body& body;
+
+        void operator()(const Probe& from) const
+        {
+            encodeGossip(from, *body.mutable_probe());
+            body.mutable_probe()->set_on_behalf_of(from.onBehalfOf.value());
+        }
+
+        void operator()(const ProbeReply& from) const { encodeGossip(from, *body.mutable_probe_reply()); }
+
+        void operator()(const ConfigPull& from) const
+        {
+            body.mutable_config_pull()->set_version(from.version.value());
+            body.mutable_config_pull()->set_offset(from.offset);
+        }
+
+        void operator()(const ConfigChunk& from) const
+        {
+            wire::ConfigChunk& to = *body.mutable_config_chunk();
+            to.set_version(from.version.value());
+            to.set_offset(from.offset);
+            to.set_total(from.total);
+            encode(from.digest, *to.mutable_digest());
+            to.set_bytes(from.bytes);
+        }
+
+        void operator()(const Submit& from) const
+        {
+            body.mutable_submit()->set_group(from.group.value());
+            encode(from.request, *body.mutable_submit()->mutable_request());
+        }
+
+        void operator()(const TokensDelivered& from) const
+        {
+            encode(from.request.value(), *body.mutable_tokens()->mutable_request());
+            body.mutable_tokens()->set_position(from.position);
+            for (const std::string& token : from.tokens)
+                body.mutable_tokens()->add_tokens(token);
+        }
+
+        void operator()(const Finished& from) const
+        {
+            encode(from.request.value(), *body.mutable_finished()->mutable_request());
+            encode(from.result, *body.mutable_finished()->mutable_result());
+        }
+
+        void operator()(const Returned& from) const
+        {
+            encode(from.request.value(), *body.mutable_returned()->mutable_request());
+            body.mutable_returned()->set_reason(number(from.reason));
+        }
+
+        void operator()(const CancelRequest& from) const
+        {
+            encode(from.request.value(), *body.mutable_cancel()->mutable_request());
+        }
+    };
+
+} // namespace
+
+std::string encodePeerMessage(const PeerMessage& message)
+{
+    wire::Body body;
+    std::visit(BodyEncoder { body }, message);
+    return body.SerializeAsString();
+}
+
+} // namespace fuchsialb
--- /dev/null
+++ b/packages/wire/fuchsialb/src/Wire/WireLimits.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "fuchsialb/Base.h"
+
+#include <cstddef>
+#include <cstdint>
+
+namespace fuchsialb::internal {
+
+// Bounds on what a peer may send, checked on decoding. They leave room above every legitimate message and keep the
+// memory that one message can claim bounded.
+
+/// Longest id of a host, data centre, group, organisation or target, in bytes.
+inline constexpr std::size_t maxIdBytes = 255;
+/// Longest "IP:port", in bytes.
+inline constexpr std::size_t maxAddressBytes = 64;
+/// Longest header value of a caller that is passed on, in bytes.
+inline constexpr std::size_t maxHeaderBytes = 8192;
+/// Longest human-readable detail of a result, in bytes.
+inline constexpr std::size_t maxDetailBytes = 4096;
+/// Most member updates in one probe; the whole fleet is 1,700 daemons.
+inline constexpr int maxMembers = 4096;
+/// Most group loads in one probe; the whole fleet has about 420 groups.
+inline constexpr int maxLoads = 4096;
+/// Most tokens in one `TokensDelivered`.
+inline constexpr int maxTokensPerMessage = 4096;
+/// Largest part of a configuration in one message, in bytes.
+inline constexpr std::size_t maxChunkBytes = 65'536;
+/// Largest encoded configuration, in bytes.
+inline constexpr std::uint64_t maxConfigurationBytes = 67'108'864;
+/// Longest wait, deadline or retry interval. Summaries are due within a day; a week leaves room for batch work.
+inline constexpr Duration maxDuration { std::chrono::hours(24 * 7) };
+
+} // namespace fuchsialb::internal
