Carry submissions, store news and remote loads between daemons

Cause: Accepted, Inquire and NotKnown, the submission number and the fields that membership added were not encoded. Change: proto, encoder, decoder with limits, table of malformed messages and round trip extended; core messages are comparable, so the tests need no comparison of their own. A probe may now lack its subject (it then asks for no reply), a reply may not: the check moved there. Conclusion: every peer message of the core travels.

--- a/packages/core/fuchsialb/src/Control/ConfigurationSpread.h
+++ b/packages/core/fuchsialb/src/Control/ConfigurationSpread.h
@@ -21,6 +21,8 @@
 struct ConfigPull {
     ConfigurationVersion version;
     std::uint64_t offset = 0;
+
+    bool operator==(const ConfigPull&) const = default;
 };
 
 /// \brief A part of an encoded configuration.
@@ -31,6 +33,8 @@
     /// Digest of the whole encoding.
     Bits128 digest;
     std::string bytes;
+
+    bool operator==(const ConfigChunk&) const = default;
 };
 
 using ConfigMessage = std::variant<ConfigPull, ConfigChunk>;
--- a/packages/core/fuchsialb/src/Member/Membership.h
+++ b/packages/core/fuchsialb/src/Member/Membership.h
@@ -47,6 +47,8 @@
     /// Answers that the watcher has had in this incarnation.
     std::uint64_t answers = 0;
     Duration age { 0 };
+
+    bool operator==(const StoreNews&) const = default;
 };
 
 /// \brief Probe of the failure detector; `members` are piggy-backed updates.
@@ -67,6 +69,8 @@
     std::vector<GroupLoad> loads;
     /// Loads of groups in other data centres, passed on by a bridge.
     std::vector<GroupLoad> remoteLoads;
+
+    bool operator==(const Probe&) const = default;
 };
 
 struct ProbeReply {
@@ -76,6 +80,8 @@
     ConfigurationVersion configuration;
     std::vector<Member> members;
     std::vector<GroupLoad> loads;
+
+    bool operator==(const ProbeReply&) const = default;
 };
 
 using MemberMessage = std::variant<Probe, ProbeReply>;
--- a/packages/core/fuchsialb/src/Router/Message.h
+++ b/packages/core/fuchsialb/src/Router/Message.h
@@ -18,12 +18,16 @@
     Request request;
     /// Number of tokens of this submission that the entry daemon has.
     std::uint32_t received = 0;
+
+    bool operator==(const Submit&) const = default;
 };
 
 /// \brief The scheduler has taken the request over.
 struct Accepted {
     RequestId request;
     std::uint32_t submission = 1;
+
+    bool operator==(const Accepted&) const = default;
 };
 
 /// \brief The entry daemon has heard nothing for a while or has missed a message.
@@ -35,12 +39,16 @@
     std::uint32_t submission = 1;
     /// Number of tokens of this submission that the entry daemon has.
     std::uint32_t received = 0;
+
+    bool operator==(const Inquire&) const = default;
 };
 
 /// \brief The scheduler does not know the submission, for instance because it was restarted.
 struct NotKnown {
     RequestId request;
     std::uint32_t submission = 1;
+
+    bool operator==(const NotKnown&) const = default;
 };
 
 /// \brief Tokens for the caller, in order from `position` on.
@@ -49,6 +57,8 @@
     std::uint32_t submission = 1;
     std::uint32_t position = 0;
     std::vector<std::string> tokens;
+
+    bool operator==(const TokensDelivered&) const = default;
 };
 
 /// \brief The one final answer of a submission.
@@ -56,6 +66,8 @@
     RequestId request;
     std::uint32_t submission = 1;
     Result result;
+
+    bool operator==(const Finished&) const = default;
 };
 
 /// \brief The request was not started; the entry daemon may submit it elsewhere.
@@ -63,12 +75,16 @@
     RequestId request;
     std::uint32_t submission = 1;
     Reason reason = Reason::OwnershipMoved;
+
+    bool operator==(const Returned&) const = default;
 };
 
 /// \brief The entry daemon no longer wants the answer of a submission.
 struct CancelRequest {
     RequestId request;
     std::uint32_t submission = 1;
+
+    bool operator==(const CancelRequest&) const = default;
 };
 
 using PeerMessage = std::variant<Probe, ProbeReply, ConfigPull, ConfigChunk, Submit, Accepted, Inquire, NotKnown,
--- a/packages/core/fuchsialb/src/Sched/GroupScheduler.h
+++ b/packages/core/fuchsialb/src/Sched/GroupScheduler.h
@@ -60,6 +60,8 @@
     RankTable<Duration> wait;
     std::uint32_t running = 0;
     std::uint32_t slots = 0;
+
+    bool operator==(const GroupLoad&) const = default;
 };
 
 /// \brief Queues, admits, dispatches and recovers the requests of one group of endpoints.
--- a/packages/wire/fuchsialb/src/Wire/PeerMessageDecode.cpp
+++ b/packages/wire/fuchsialb/src/Wire/PeerMessageDecode.cpp
@@ -70,6 +70,22 @@
             return RequestId(bits(parent.has_request(), parent.request(), "request id"));
         }
 
+        std::uint32_t submission(std::uint32_t value)
+        {
+            require(value >= 1 && value <= internal::maxSubmissions,
+                fmt::format("submission is {}, accepted are 1 to {}", value, internal::maxSubmissions));
+            return value;
+        }
+
+        /// Reads the two fields that name a submission.
+        template <typename To, typename From> To submissionOf(const From& from)
+        {
+            To to;
+            to.request = requestId(from);
+            to.submission = submission(from.submission());
+            return to;
+        }
+
     private:
         absl::Status m_status;
     };
@@ -96,6 +112,18 @@
             to.wait[static_cast<Rank>(i)] = in.duration(from.wait_us(i), "load.wait_us");
         to.running = from.running();
         to.slots = from.slots();
+        to.scheduler = HostId(in.text(from.scheduler(), internal::maxIdBytes, "load.scheduler"));
+        to.address = in.text(from.address(), internal::maxAddressBytes, "load.address");
+        return to;
+    }
+
+    StoreNews decodeNews(Decoder& in, const wire::StoreNews& from)
+    {
+        StoreNews to;
+        to.watcher = HostId(in.text(from.watcher(), internal::maxIdBytes, "store_news.watcher"));
+        to.incarnation = Incarnation(from.incarnation());
+        to.answers = from.answers();
+        to.age = in.duration(from.age_us(), "store_news.age_us");
         return to;
     }
 
@@ -103,7 +131,8 @@
     {
         To to;
         to.sequence = from.sequence();
-        to.subject = in.id<HostId>(from.subject(), "subject");
+        to.subject = HostId(in.text(from.subject(), internal::maxIdBytes, "subject"));
+        to.storeNews = decodeNews(in, from.store_news());
         to.configuration = ConfigurationVersion(from.configuration());
         in.require(from.members_size() <= internal::maxMembers, "too many members");
         in.require(from.loads_size() <= internal::maxLoads, "too many loads");
@@ -120,10 +149,22 @@
     {
         Probe to = decodeGossip<Probe>(in, from);
         to.onBehalfOf = HostId(in.text(from.on_behalf_of(), internal::maxIdBytes, "on_behalf_of"));
+        to.fullState = from.full_state();
+        to.hops = from.hops();
+        in.require(to.hops <= internal::maxHops, "hops is larger than any relay uses");
+        in.require(from.remote_loads_size() <= internal::maxLoads, "too many remote loads");
+        if (!in.status().ok())
+            return to;
+        for (const wire::GroupLoad& load : from.remote_loads())
+            to.remoteLoads.push_back(decodeLoad(in, load));
         return to;
     }
 
-    ProbeReply decode(Decoder& in, const wire::ProbeReply& from) { return decodeGossip<ProbeReply>(in, from); }
+    ProbeReply decode(Decoder& in, const wire::ProbeReply& from)
+    {
+        in.require(!from.subject().empty(), "subject is empty");
+        return decodeGossip<ProbeReply>(in, from);
+    }
 
     ConfigPull decode(Decoder& in, const wire::ConfigPull& from)
     {
@@ -166,6 +207,10 @@
         to.path = in.text(from.path(), internal::maxHeaderBytes, "request.path");
         to.contentType = in.text(from.content_type(), internal::maxHeaderBytes, "request.content_type");
         to.body = from.body();
+        to.submission = in.submission(from.submission());
+        in.require(from.generated_size() <= internal::maxGeneratedTokens, "too many generated tokens");
+        if (in.status().ok())
+            to.generated.assign(from.generated().begin(), from.generated().end());
         return to;
     }
 
@@ -184,18 +229,31 @@
         to.body = from.body();
         to.replayed = from.replayed();
         to.generatedTokens = from.generated_tokens();
+        to.finishReason = in.text(from.finish_reason(), internal::maxIdBytes, "result.finish_reason");
         return to;
     }
 
     Submit decode(Decoder& in, const wire::Submit& from)
     {
         in.require(from.has_request(), "submit.request is missing");
-        return { in.id<GroupId>(from.group(), "submit.group"), decodeRequest(in, from.request()) };
+        return { in.id<GroupId>(from.group(), "submit.group"), decodeRequest(in, from.request()), from.received() };
     }
 
+    Accepted decode(Decoder& in, const wire::Accepted& from) { return in.submissionOf<Accepted>(from); }
+
+    Inquire decode(Decoder& in, const wire::Inquire& from)
+    {
+        auto to = in.submissionOf<Inquire>(from);
+        to.received = from.received();
+        return to;
+    }
+
+    NotKnown decode(Decoder& in, const wire::NotKnown& from) { return in.submissionOf<NotKnown>(from); }
+
     TokensDelivered decode(Decoder& in, const wire::TokensDelivered& from)
     {
-        TokensDelivered to { in.requestId(from), from.position(), {} };
+        auto to = in.submissionOf<TokensDelivered>(from);
+        to.position = from.position();
         in.require(from.tokens_size() <= internal::maxTokensPerMessage, "too many tokens");
         const auto count = static_cast<std::uint32_t>(from.tokens_size());
         in.require(
@@ -208,15 +266,19 @@
     Finished decode(Decoder& in, const wire::Finished& from)
     {
         in.require(from.has_result(), "finished.result is missing");
-        return { in.requestId(from), decodeResult(in, from.result()) };
+        auto to = in.submissionOf<Finished>(from);
+        to.result = decodeResult(in, from.result());
+        return to;
     }
 
     Returned decode(Decoder& in, const wire::Returned& from)
     {
-        return { in.requestId(from), in.enumerator(from.reason(), Reason::Internal, "returned.reason") };
+        auto to = in.submissionOf<Returned>(from);
+        to.reason = in.enumerator(from.reason(), Reason::Internal, "returned.reason");
+        return to;
     }
 
-    CancelRequest decode(Decoder& in, const wire::CancelRequest& from) { return { in.requestId(from) }; }
+    CancelRequest decode(Decoder& in, const wire::CancelRequest& from) { return in.submissionOf<CancelRequest>(from); }
 
     PeerMessage decodeBody(Decoder& in, const wire::Body& body)
     {
@@ -227,6 +289,12 @@
             return decode(in, body.probe_reply());
         case wire::Body::kSubmit:
             return decode(in, body.submit());
+        case wire::Body::kAccepted:
+            return decode(in, body.accepted());
+        case wire::Body::kInquire:
+            return decode(in, body.inquire());
+        case wire::Body::kNotKnown:
+            return decode(in, body.not_known());
         case wire::Body::kTokens:
             return decode(in, body.tokens());
         case wire::Body::kFinished:
--- a/packages/wire/fuchsialb/src/Wire/PeerMessageEncode.cpp
+++ b/packages/wire/fuchsialb/src/Wire/PeerMessageEncode.cpp
@@ -43,6 +43,16 @@
             to.add_wait_us(micros(from.wait[rank]));
         to.set_running(from.running);
         to.set_slots(from.slots);
+        to.set_scheduler(from.scheduler.value());
+        to.set_address(from.address);
+    }
+
+    void encode(const StoreNews& from, wire::StoreNews& to)
+    {
+        to.set_watcher(from.watcher.value());
+        to.set_incarnation(from.incarnation.value());
+        to.set_answers(from.answers);
+        to.set_age_us(micros(from.age));
     }
 
     template <typename From, typename To> void encodeGossip(const From& from, To& to)
@@ -54,6 +64,7 @@
             encode(member, *to.add_members());
         for (const GroupLoad& load : from.loads)
             encode(load, *to.add_loads());
+        encode(from.storeNews, *to.mutable_store_news());
     }
 
     void encode(const Request& from, wire::Request& to)
@@ -76,6 +87,9 @@
         to.set_path(from.path);
         to.set_content_type(from.contentType);
         to.set_body(from.body);
+        to.set_submission(from.submission);
+        for (const std::string& token : from.generated)
+            to.add_generated(token);
     }
 
     void encode(const Result& from, wire::Result& to)
@@ -90,6 +104,13 @@
         to.set_body(from.body);
         to.set_replayed(from.replayed);
         to.set_generated_tokens(from.generatedTokens);
+        to.set_finish_reason(cut(from.finishReason, internal::maxIdBytes));
+    }
+
+    template <typename From, typename To> void encodeSubmission(const From& from, To& to)
+    {
+        encode(from.request.value(), *to.mutable_request());
+        to.set_submission(from.submission);
     }
 
     /// \brief Fills the alternative of `Body` that belongs to a message.
@@ -99,7 +120,12 @@
         void operator()(const Probe& from) const
         {
             encodeGossip(from, *body.mutable_probe());
-            body.mutable_probe()->set_on_behalf_of(from.onBehalfOf.value());
+            wire::Probe& to = *body.mutable_probe();
+            to.set_on_behalf_of(from.onBehalfOf.value());
+            to.set_full_state(from.fullState);
+            to.set_hops(from.hops);
+            for (const GroupLoad& load : from.remoteLoads)
+                encode(load, *to.add_remote_loads());
         }
 
         void operator()(const ProbeReply& from) const { encodeGossip(from, *body.mutable_probe_reply()); }
@@ -122,34 +148,44 @@
 
         void operator()(const Submit& from) const
         {
-            body.mutable_submit()->set_group(from.group.value());
-            encode(from.request, *body.mutable_submit()->mutable_request());
+            wire::Submit& to = *body.mutable_submit();
+            to.set_group(from.group.value());
+            encode(from.request, *to.mutable_request());
+            to.set_received(from.received);
         }
 
+        void operator()(const Accepted& from) const { encodeSubmission(from, *body.mutable_accepted()); }
+
+        void operator()(const Inquire& from) const
+        {
+            encodeSubmission(from, *body.mutable_inquire());
+            body.mutable_inquire()->set_received(from.received);
+        }
+
+        void operator()(const NotKnown& from) const { encodeSubmission(from, *body.mutable_not_known()); }
+
         void operator()(const TokensDelivered& from) const
         {
-            encode(from.request.value(), *body.mutable_tokens()->mutable_request());
-            body.mutable_tokens()->set_position(from.position);
+            wire::TokensDelivered& to = *body.mutable_tokens();
+            encodeSubmission(from, to);
+            to.set_position(from.position);
             for (const std::string& token : from.tokens)
-                body.mutable_tokens()->add_tokens(token);
+                to.add_tokens(token);
         }
 
         void operator()(const Finished& from) const
         {
-            encode(from.request.value(), *body.mutable_finished()->mutable_request());
+            encodeSubmission(from, *body.mutable_finished());
             encode(from.result, *body.mutable_finished()->mutable_result());
         }
 
         void operator()(const Returned& from) const
         {
-            encode(from.request.value(), *body.mutable_returned()->mutable_request());
+            encodeSubmission(from, *body.mutable_returned());
             body.mutable_returned()->set_reason(number(from.reason));
         }
 
-        void operator()(const CancelRequest& from) const
-        {
-            encode(from.request.value(), *body.mutable_cancel()->mutable_request());
-        }
+        void operator()(const CancelRequest& from) const { encodeSubmission(from, *body.mutable_cancel()); }
     };
 
 } // namespace
--- a/packages/wire/fuchsialb/src/Wire/WireLimits.h
+++ b/packages/wire/fuchsialb/src/Wire/WireLimits.h
@@ -22,8 +22,14 @@
 inline constexpr int maxMembers = 4096;
 /// Most group loads in one probe; the whole fleet has about 420 groups.
 inline constexpr int maxLoads = 4096;
-/// Most tokens in one `TokensDelivered`.
-inline constexpr int maxTokensPerMessage = 4096;
+/// Most tokens in one `TokensDelivered`; an answer to `Inquire` may hold a whole completion.
+inline constexpr int maxTokensPerMessage = 131'072;
+/// Most tokens that a resubmitted request brings along; the most that a caller may ask for.
+inline constexpr int maxGeneratedTokens = 131'072;
+/// Most relays that a probe's loads pass through.
+inline constexpr std::uint32_t maxHops = 8;
+/// Highest number of a submission; an entry daemon gives up far earlier.
+inline constexpr std::uint32_t maxSubmissions = 255;
 /// Largest part of a configuration in one message, in bytes.
 inline constexpr std::size_t maxChunkBytes = 65'536;
 /// Largest encoded configuration, in bytes.
