--- /dev/null
+++ b/packages/core/fuchsialb/src/Sched/ModelRun.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "PrefixIndex.h"
+#include "RecoveryPlanner.h"
+
+#include <deque>
+#include <string>
+#include <vector>
+
+namespace fuchsialb::internal {
+
+/// \brief The run of a model request over its epochs: its tokens, its route and its recovery.
+struct ModelRun {
+    Epoch epoch { 0 };
+    /// Tokens that the caller has.
+    std::vector<std::string> generated;
+    std::vector<RouteStage> route;
+    std::vector<PrefixIndex::Prefix> prefixes;
+    /// Stages of `route` whose state is being rebuilt; empty once the epoch has yielded a token.
+    std::vector<std::size_t> rebuilding;
+    /// Ways to rebuild that were not tried yet, cheapest first.
+    std::deque<RecoveryOption> options;
+    /// A state move is in progress; the run of the epoch is not started yet.
+    bool moving = false;
+    std::uint32_t recoveries = 0;
+
+    TimePoint lastProgress {};
+    /// Longest time without progress before the run counts as failed.
+    Duration silenceBound { 0 };
+    /// The same once the epoch has yielded a token.
+    Duration tokenSilenceBound { 0 };
+
+    bool accepts(Epoch of, std::uint32_t position) const
+    {
+        return !moving && of == epoch && position == generated.size();
+    }
+
+    /// Engines refuse all older epochs from the next start on.
+    void nextEpoch() { epoch = Epoch(epoch.value() + 1); }
+};
+
+} // namespace fuchsialb::internal
