Resume a resubmitted request behind the tokens its caller has

Cause: a request submitted to a second scheduler started from zero, and its epochs were not above those of the first. Before: tokens could be sent twice after the loss of a scheduler.

--- a/packages/core/fuchsialb/src/Router/SchedulerTable.cpp
+++ b/packages/core/fuchsialb/src/Router/SchedulerTable.cpp
@@ -85,13 +85,8 @@
         returnAtOnce(entry, submit, m_draining ? Reason::ShuttingDown : Reason::OwnershipMoved);
         return;
     }
-    if (Entry* earlier = latest(submit.request.id)) {
-        // A scheduler tracks a request once; an earlier submission that is still in progress here goes first.
-        if (!earlier->answer) {
-            returnAtOnce(entry, submit, Reason::RequestInProgress);
-            return;
-        }
-    }
+    if (const Entry* earlier = latest(submit.request.id); earlier && answerFromEarlier(*earlier, entry, submit))
+        return;
     Entry record;
     record.entry = entry;
     record.request = submit.request;
@@ -102,6 +97,33 @@
     group->second->scheduler->submit(submit.request);
 }
 
+bool SchedulerTable::answerFromEarlier(const Entry& earlier, const HostId& entry, const Submit& submit)
+{
+    const Request& request = submit.request;
+    const auto* finished = earlier.answer ? std::get_if<Finished>(&*earlier.answer) : nullptr;
+    if (!finished) {
+        // A returned submission was not run; one in progress must end first, since a scheduler tracks a request once.
+        if (!earlier.answer)
+            returnAtOnce(entry, submit, Reason::RequestInProgress);
+        return !earlier.answer;
+    }
+    std::vector<std::string> tokens = earlier.request.generated;
+    tokens.insert(tokens.end(), earlier.tokens.begin(), earlier.tokens.end());
+    const std::vector<std::string>& known = request.generated;
+    if (known.size() > tokens.size() || !std::equal(known.begin(), known.end(), tokens.begin())) {
+        returnAtOnce(entry, submit, Reason::RequestInProgress);
+        return true;
+    }
+    output(entry, Accepted { request.id, request.submission });
+    tokens.erase(tokens.begin(), tokens.begin() + static_cast<std::ptrdiff_t>(known.size()));
+    if (!tokens.empty())
+        output(entry,
+            TokensDelivered {
+                request.id, request.submission, static_cast<std::uint32_t>(known.size()), std::move(tokens) });
+    output(entry, Finished { request.id, request.submission, finished->result });
+    return true;
+}
+
 void SchedulerTable::inquire(const HostId& entry, const Inquire& inquiry)
 {
     const auto known = m_entries.find({ inquiry.request, inquiry.submission });
--- a/packages/core/fuchsialb/src/Router/SchedulerTable.h
+++ b/packages/core/fuchsialb/src/Router/SchedulerTable.h
@@ -87,6 +87,9 @@
     GroupScheduler* schedulerOf(RequestId request);
     Entry* latest(RequestId request);
     ClaimLog* claimLog(const TargetId& target);
+    /// Answers a submission from an earlier one of the same request that is known here.
+    /// \return Whether the submission needs nothing more.
+    bool answerFromEarlier(const Entry& earlier, const HostId& entry, const Submit& submit);
     void answerAgain(const Entry& entry, std::uint32_t received);
     void retire(std::unique_ptr<Group> group, Reason reason);
     void finishEntry(RequestId request, PeerMessage answer);
--- a/packages/core/fuchsialb/src/Sched/ModelRun.h
+++ b/packages/core/fuchsialb/src/Sched/ModelRun.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "../Router/Request.h"
 #include "PrefixIndex.h"
 #include "RecoveryPlanner.h"
 
@@ -11,6 +12,9 @@
 
 /// \brief The run of a model request over its epochs: its tokens, its route and its recovery.
 struct ModelRun {
+    /// Far above the recoveries of one submission.
+    static constexpr std::uint32_t epochsPerSubmission = 1U << 16;
+
     Epoch epoch { 0 };
     /// Tokens that the caller has.
     std::vector<std::string> generated;
@@ -35,6 +39,14 @@
         return !moving && of == epoch && position == generated.size();
     }
 
+    /// Takes over what the caller has from an earlier submission. Each submission has its own range of epochs, so that
+    /// engines refuse what an earlier scheduler still sends.
+    void resume(const Request& request)
+    {
+        epoch = Epoch((request.submission - 1) * epochsPerSubmission);
+        generated = request.generated;
+    }
+
     /// Engines refuse all older epochs from the next start on.
     void nextEpoch() { epoch = Epoch(epoch.value() + 1); }
 };
--- a/packages/core/fuchsialb/src/Sched/ModelScheduler.cpp
+++ b/packages/core/fuchsialb/src/Sched/ModelScheduler.cpp
@@ -252,7 +252,7 @@
     Result result;
     result.outcome = Outcome::Completed;
     result.reason = Reason::Ok;
-    result.detail = std::string(finishReason);
+    result.finishReason = std::string(finishReason);
     result.httpStatus = statusOk;
     result.generatedTokens = generated;
     finish(request, std::move(result));
--- a/packages/core/fuchsialb/src/Sched/SchedulerBase.cpp
+++ b/packages/core/fuchsialb/src/Sched/SchedulerBase.cpp
@@ -170,6 +170,7 @@
     auto owned = std::make_unique<ScheduledRequest>();
     ScheduledRequest& request = *owned;
     request.request = std::move(incoming);
+    request.run.resume(request.request);
     request.arrivedAt = now();
     request.weight = weightOf(request.request.organisation);
     request.order = m_nextOrder++;
