Carry messages between daemons over ZeroMQ

Cause: daemons need an authenticated channel that never blocks the core and replaces a connection that has gone silent within 2 s.

Change: PeerTransport runs one thread with a ROUTER socket and one DEALER socket for each peer address, with heartbeats every 500 ms and a timeout of 1.5 s. Messages are sealed on that thread. A DEALER queues only on a complete connection; a message that finds none within 1 s is dropped and reported, so that a host that restarts at the same address does not receive stale work. Repeated messages, and those of an older incarnation, are dropped for every kind of message, by a window of 1,024 sequence numbers for each sender. An address is accepted only when it is numeric, since it comes from gossip and ZeroMQ would resolve names.

Before: a peer beyond the bound could not be connected: ZeroMQ closes sockets in the background and the socket limit left no room for that. It covers order over 1,000 messages, strangers, replays, unreachable and mistaken peers, oversized messages and the bound on connections.

Conclusion: the transport fits the design; heartbeat replacement of a silent connection is configured but not yet tested.

--- a/packages/net/fuchsialb/Net.h
+++ b/packages/net/fuchsialb/Net.h
@@ -4,5 +4,6 @@
 /// Input and output shared by the binaries: clock, logger, rings, HTTP client and peer transport.
 
 #include "src/Net/Logger.h"
+#include "src/Net/PeerTransport.h"
 #include "src/Net/Ring.h"
 #include "src/Net/SystemClock.h"
--- /dev/null
+++ b/packages/net/tests/PeerTransportTest.cpp
@@ -0,0 +1,242 @@
+#include "fuchsialb/Net.h"
+#include "fuchsialb/src/Net/ReplayWindow.h"
+
+#include <catch2/catch.hpp>
+#include <zmq.hpp>
+
+#include <condition_variable>
+#include <mutex>
+
+using namespace fuchsialb;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// \brief A transport that keeps what it received and dropped.
+class Host {
+public:
+    explicit Host(const std::string& name, PeerTransport::Options options = {})
+    {
+        options.self = HostId(name);
+        options.incarnation = Incarnation(1);
+        if (options.keys.currentKey.empty())
+            options.keys = { "fleet", "key", "" };
+        transport = PeerTransport::create(
+            options,
+            [this](const HostId& from, const PeerMessage& message) {
+                const std::lock_guard lock(m_mutex);
+                m_received.emplace_back(from, message);
+                m_changed.notify_all();
+            },
+            [this](const absl::Status& status) {
+                const std::lock_guard lock(m_mutex);
+                m_dropped.push_back(reasonOf(status));
+                m_changed.notify_all();
+            }).value();
+    }
+
+    std::string address() const { return "127.0.0.1:" + std::to_string(transport->port()); }
+
+    bool awaitReceived(std::size_t count)
+    {
+        return await([&] { return m_received.size() >= count; });
+    }
+
+    bool awaitDropped(std::size_t count)
+    {
+        return await([&] { return m_dropped.size() >= count; });
+    }
+
+    std::vector<std::pair<HostId, PeerMessage>> received()
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_received;
+    }
+
+    std::vector<Reason> dropped()
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_dropped;
+    }
+
+private:
+    bool await(const std::function<bool()>& condition)
+    {
+        std::unique_lock lock(m_mutex);
+        return m_changed.wait_for(lock, 10s, condition);
+    }
+
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    std::vector<std::pair<HostId, PeerMessage>> m_received;
+    std::vector<Reason> m_dropped;
+
+public:
+    /// Last member: its thread uses the others.
+    std::unique_ptr<PeerTransport> transport;
+};
+
+PeerMessage numbered(std::uint32_t number) { return TokensDelivered { RequestId(), number, { "x" } }; }
+
+std::uint32_t numberOf(const PeerMessage& message) { return std::get<TokensDelivered>(message).position; }
+
+/// \brief Sends raw frames, as a stranger or an attacker would.
+void sendRaw(const std::string& address, const std::vector<std::vector<std::string>>& messages)
+{
+    zmq::context_t context;
+    zmq::socket_t socket(context, zmq::socket_type::dealer);
+    socket.connect("tcp://" + address);
+    for (const std::vector<std::string>& frames : messages) {
+        for (std::size_t i = 0; i < frames.size(); ++i)
+            socket.send(
+                zmq::buffer(frames[i]), i + 1 < frames.size() ? zmq::send_flags::sndmore : zmq::send_flags::none);
+    }
+}
+
+} // namespace
+
+TEST_CASE("Peers exchange authenticated messages")
+{
+    Host a("a");
+    Host b("b");
+
+    // Guards against loss and reordering on a healthy connection, past the number handled in one turn.
+    SECTION("messages arrive in order, both ways")
+    {
+        constexpr std::uint32_t count = 1000;
+        for (std::uint32_t i = 0; i < count; ++i)
+            REQUIRE(a.transport->send(HostId("b"), b.address(), numbered(i)));
+        REQUIRE(b.transport->send(HostId("a"), a.address(), numbered(7)));
+        REQUIRE(b.awaitReceived(count));
+        REQUIRE(a.awaitReceived(1));
+        const auto received = b.received();
+        for (std::uint32_t i = 0; i < count; ++i) {
+            REQUIRE(received[i].first == HostId("a"));
+            REQUIRE(numberOf(received[i].second) == i);
+        }
+        CHECK(numberOf(a.received()[0].second) == 7);
+        CHECK(a.transport->bytesSent() == b.transport->bytesReceived());
+        CHECK(a.transport->bytesReceived() == b.transport->bytesSent());
+    }
+
+    // Guards against strangers and against a captured message that is sent again.
+    SECTION("strangers and repetitions are dropped with their reason")
+    {
+        const EnvelopeKeys keys { "fleet", "key", "" };
+        const auto from = [&](const EnvelopeKeys& with, std::uint64_t incarnation, std::uint64_t sequence) {
+            return std::vector { seal(with, HostId("c"), HostId("b"), Incarnation(incarnation), sequence,
+                numbered(static_cast<std::uint32_t>(sequence))) };
+        };
+        sendRaw(b.address(),
+            { from(keys, 2, 5), from(keys, 2, 5), from(keys, 1, 6), from({ "fleet", "bad", "" }, 2, 7),
+                from({ "other", "key", "" }, 2, 8), { "garbage" }, { "two", "parts" }, from(keys, 2, 9) });
+        REQUIRE(b.awaitReceived(2));
+        CHECK(numberOf(b.received()[0].second) == 5);
+        CHECK(numberOf(b.received()[1].second) == 9);
+        CHECK(b.dropped()
+            == std::vector { Reason::MalformedMessage, Reason::MalformedMessage, Reason::WrongKey, Reason::WrongFleet,
+                Reason::MalformedMessage, Reason::MalformedMessage });
+    }
+
+    // Guards against a host that took over the address of another.
+    SECTION("a message for another host is dropped")
+    {
+        a.transport->send(HostId("c"), b.address(), numbered(1));
+        REQUIRE(b.awaitDropped(1));
+        CHECK(b.dropped() == std::vector { Reason::MalformedMessage });
+    }
+}
+
+// Guards against memory that grows with an unreachable peer, and against its successor receiving stale messages.
+TEST_CASE("Messages that can't be sent are dropped and reported")
+{
+    PeerTransport::Options options;
+    options.pendingTimeout = 50ms;
+    options.maxMessage = Bytes(1000);
+    Host a("a", options);
+
+    SECTION("no peer at the address, or no address")
+    {
+        Host gone("gone");
+        const std::string address = gone.address();
+        gone.transport.reset();
+        a.transport->send(HostId("gone"), address, numbered(1));
+        a.transport->send(HostId("gone"), "name.invalid:1", numbered(2));
+        REQUIRE(a.awaitDropped(2));
+        CHECK(a.dropped() == std::vector { Reason::ConnectFailed, Reason::ConnectFailed });
+    }
+    SECTION("a message larger than a peer accepts")
+    {
+        Host b("b", options);
+        a.transport->send(HostId("b"), b.address(), TokensDelivered { RequestId(), 0, { std::string(1000, 'x') } });
+        a.transport->send(HostId("b"), b.address(), numbered(2));
+        REQUIRE(b.awaitReceived(1));
+        CHECK(a.dropped() == std::vector { Reason::BodyTooLarge });
+    }
+}
+
+// Guards against connections that pile up over days of changing hosts.
+TEST_CASE("Connections are bounded in number")
+{
+    PeerTransport::Options options;
+    options.maxPeers = 1;
+    Host a("a", options);
+    Host b("b");
+    Host c("c");
+    a.transport->send(HostId("b"), b.address(), numbered(1));
+    REQUIRE(b.awaitReceived(1));
+    a.transport->send(HostId("c"), c.address(), numbered(2));
+    REQUIRE(c.awaitReceived(1));
+    CHECK(a.transport->peers() == 1);
+}
+
+TEST_CASE("Bad settings of the peer transport are refused")
+{
+    const auto refusal = [](PeerTransport::Options options) {
+        return reasonOf(PeerTransport::create(
+            std::move(options), [](const HostId&, const PeerMessage&) {},
+            [](const absl::Status&) {
+            }).status());
+    };
+    PeerTransport::Options options;
+    CHECK(refusal(options) == Reason::InvalidFlag);
+    options.keys = { "fleet", "key", "" };
+    options.bindAddress = "not an address";
+    CHECK(refusal(options) == Reason::InvalidFlag);
+    Host a("a");
+    options.bindAddress = a.address();
+    CHECK(refusal(options) == Reason::InvalidFlag);
+}
+
+// Guards against a message that is delivered twice or a fresh one that is refused.
+TEST_CASE("The replay window accepts each message once")
+{
+    internal::ReplayWindow window(2);
+    const HostId a("a");
+    const auto accept = [&](std::uint64_t incarnation, std::uint64_t sequence) {
+        return window.accept(a, Incarnation(incarnation), sequence);
+    };
+    CHECK(accept(1, 2000));
+    CHECK_FALSE(accept(1, 2000));
+    CHECK(accept(1, 1999));
+    CHECK_FALSE(accept(1, 1999));
+    CHECK(accept(1, 2000 - 1023));
+    CHECK_FALSE(accept(1, 2000 - 1024));
+    CHECK(accept(1, 2001));
+    CHECK_FALSE(accept(1, 2000));
+    CHECK(accept(1, 100'000));
+    CHECK(accept(1, 99'999));
+    CHECK(accept(2, 1));
+    CHECK_FALSE(accept(1, 100'001));
+    CHECK(accept(2, ~std::uint64_t { 0 }));
+    CHECK_FALSE(accept(2, 1));
+
+    SECTION("the sender heard from least recently is forgotten first")
+    {
+        CHECK(window.accept(HostId("b"), Incarnation(1), 1));
+        CHECK_FALSE(accept(2, 1));
+        CHECK(window.accept(HostId("c"), Incarnation(1), 1));
+        CHECK_FALSE(accept(2, 1));
+        CHECK(window.accept(HostId("b"), Incarnation(1), 1));
+    }
+}
