--- a/packages/net/fuchsialb/Net.h
+++ b/packages/net/fuchsialb/Net.h
@@ -6,5 +6,6 @@
 #include "src/Net/HttpClient.h"
 #include "src/Net/HttpServer.h"
 #include "src/Net/Logger.h"
+#include "src/Net/PeerTransport.h"
 #include "src/Net/Ring.h"
 #include "src/Net/SystemClock.h"
