Add the spread of the configuration

Every daemon must have an accepted version within 6 s and never go back.

The first two members by hash for the word watch hold a long poll on the head; the next ones take over in doubling groups when no member before them gave news of the store for 3 s, at most 8. Watches last 1 s so that silence shows in time. News carries the watcher, its incarnation and its count of answers, because ages alone would grow younger with each hop. Other members pull in chunks of 64 KB and turn to another peer on failure. One value type holds the rule of what comes into force: whole, with a matching digest, never lower. A read that started after a higher version was known and shows a lower one raises storeBehind.

Tested with 24 hosts in 3 data centres: bursts, a data centre without a path to the store, blind watchers, a start during an outage, a restored store.

Conclusion: the listed cases hold; random faults are not yet covered.

--- a/packages/core/fuchsialb/src/Control/ConfigurationSpread.h
+++ b/packages/core/fuchsialb/src/Control/ConfigurationSpread.h
@@ -4,11 +4,13 @@
 #include "../Base/Ids.h"
 #include "../Claims/ClaimLog.h"
 #include "../Config/Configuration.h"
+#include "../Config/ConfigurationCodec.h"
 #include "../Member/Membership.h"
 
 #include <absl/status/statusor.h>
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -54,18 +56,48 @@
 struct SpreadStatus {
     ConfigurationVersion inForce;
     bool watching = false;
-    /// Age of the latest answer of the store that this daemon knows of, its own or a peer's.
-    Duration storeAge { 0 };
+    /// Age of the latest answer of the store that this daemon knows of, its own or a peer's; `Duration::max()` when
+    /// none is known.
+    Duration storeAge = Duration::max();
     /// The store shows a lower version than a peer holds.
     bool storeBehind = false;
+    /// Answers that the store gave this daemon, for `Membership::setStoreAnswers`.
+    std::uint64_t storeAnswers = 0;
+    /// Encodings that were refused: wrong digest, or not a whole configuration of the version that was announced.
+    std::uint64_t refused = 0;
+};
+
+/// \brief Deliberate faults by which tests prove that their checkers work.
+enum class SpreadFault : unsigned char {
+    None,
+    /// Installs a version lower than the one in force.
+    InstallLower,
+    /// Installs an encoding whose digest doesn't match.
+    IgnoreDigest,
+    /// Never takes over from silent watchers.
+    NeverTakeOver,
 };
 
 struct SpreadOptions {
     std::uint32_t watchers = 2;
-    Duration watchWait { std::chrono::seconds(10) };
+    /// Members beyond the regular watchers that may take over at once; bounds the load on a store that returns.
+    std::uint32_t extraWatchers = 8;
+    /// An answer each second keeps the news that members have of a working watch under 3 s old. With 2 watchers in each
+    /// of 11 data centres this is 22 answers/s of the store's 2,000 reads/s.
+    Duration watchWait { std::chrono::seconds(1) };
+    /// Time beyond the wait after which a store operation is given up.
+    Duration operationTimeout { std::chrono::milliseconds(500) };
+    /// A watch never fires when the store was restored to an older version, so the head is also read at this interval.
+    Duration readPeriod { std::chrono::seconds(10) };
     Duration takeOverAfter { std::chrono::seconds(3) };
     Bytes chunk { 64 * 1024 };
     Duration pullTimeout { std::chrono::milliseconds(500) };
+    /// Codec: `decodeConfiguration`, `decodeHead` and `chunkKey`. All three must be set.
+    std::function<absl::StatusOr<Configuration>(std::string_view)> decode;
+    std::function<absl::StatusOr<ConfigurationHead>(std::string_view)> decodeHead;
+    std::function<std::string(const Bits128&)> chunkKey;
+    /// For tests only.
+    SpreadFault fault = SpreadFault::None;
 };
 
 /// \brief Brings the newest accepted configuration into force on this daemon and never goes back.
@@ -79,6 +111,8 @@
 
     /// \param members Current view; the configuration versions in it say who is ahead.
     virtual void onMembers(const std::vector<Member>& members) = 0;
+    /// \param news What `Membership::storeNews` returns. Called before each `tick`.
+    virtual void onStoreNews(const std::vector<StoreNews>& news) = 0;
     virtual void onMessage(const HostId& from, const ConfigMessage& message) = 0;
     virtual void onAnswer(const StoreAnswer& answer) = 0;
     virtual void tick() = 0;
--- a/packages/core/fuchsialb/src/Member/Membership.h
+++ b/packages/core/fuchsialb/src/Member/Membership.h
@@ -60,7 +60,8 @@
     bool fullState = false;
     /// How often receivers pass loads and remote `members` on within the data centre.
     std::uint32_t hops = 0;
-    StoreNews storeNews;
+    /// At most 4, newest first.
+    std::vector<StoreNews> storeNews;
     ConfigurationVersion configuration;
     std::vector<Member> members;
     /// Loads of groups in the sender's data centre.
@@ -72,7 +73,8 @@
 struct ProbeReply {
     std::uint64_t sequence = 0;
     HostId subject;
-    StoreNews storeNews;
+    /// At most 4, newest first.
+    std::vector<StoreNews> storeNews;
     ConfigurationVersion configuration;
     std::vector<Member> members;
     std::vector<GroupLoad> loads;
@@ -142,8 +144,8 @@
     virtual const GroupLoad* load(const GroupId& group) const = 0;
     /// \return Time since the load of a group arrived, or `Duration::max()` when there is none.
     virtual Duration loadAge(const GroupId& group) const = 0;
-    /// \return Age of the latest answer of the store to any member, or `Duration::max()`.
-    virtual Duration storeAge() const = 0;
+    /// \return The latest news of the store by each watcher, this host included, with its age now; newest first.
+    virtual std::vector<StoreNews> storeNews() const = 0;
     /// \return A number that changes whenever `members` or `accepting` changes.
     virtual std::uint64_t revision() const = 0;
     virtual std::vector<MemberSend> takeSends() = 0;
--- a/packages/core/fuchsialb/src/Member/RelayGrid.h
+++ b/packages/core/fuchsialb/src/Member/RelayGrid.h
@@ -3,18 +3,21 @@
 #include "Membership.h"
 
 #include <map>
+#include <set>
 #include <string_view>
 #include <vector>
 
 namespace fuchsialb::internal {
 
-/// \brief Group loads and members of other data centres on their way through the data centre.
+/// \brief Group loads, news of the store and members of other data centres on their way through the data centre.
 struct RelayItems {
     std::map<GroupId, GroupLoad> loads;
     std::map<GroupId, GroupLoad> remoteLoads;
     std::map<HostId, Member> members;
+    /// Watchers whose news is passed on.
+    std::set<HostId> news;
 
-    bool empty() const { return loads.empty() && remoteLoads.empty() && members.empty(); }
+    bool empty() const { return loads.empty() && remoteLoads.empty() && members.empty() && news.empty(); }
 };
 
 /// \brief The two-step path by which one member reaches all n members of its data centre.
--- a/packages/core/fuchsialb/src/Member/StoreNewsBoard.cpp
+++ b/packages/core/fuchsialb/src/Member/StoreNewsBoard.cpp
@@ -1,35 +1,55 @@
 #include "StoreNewsBoard.h"
 
+#include <algorithm>
+#include <chrono>
+#include <tuple>
+
 namespace fuchsialb::internal {
 
+namespace {
+
+    /// Bounds the memory; far longer than the 3 s after which news is too old for any decision.
+    constexpr Duration newsLifetime = std::chrono::hours(1);
+
+} // namespace
+
 bool StoreNewsBoard::take(const StoreNews& news, TimePoint now)
 {
     if (news.watcher.value().empty())
         return false;
-    const auto position = std::pair(news.incarnation, news.answers);
-    const auto known = m_seen.find(news.watcher);
-    if (known != m_seen.end() && known->second >= position)
-        return false;
-    m_seen[news.watcher] = position;
-    const TimePoint answered = now - news.age;
-    if (m_latest.watcher.value().empty() || answered >= m_answered) {
-        m_latest = news;
-        m_answered = answered;
+    const auto known = m_entries.find(news.watcher);
+    if (known != m_entries.end()) {
+        const StoreNews& before = known->second.news;
+        if (std::tie(before.incarnation, before.answers) >= std::tie(news.incarnation, news.answers))
+            return false;
     }
+    std::erase_if(m_entries, [now](const auto& item) { return item.second.answered + newsLifetime < now; });
+    m_entries[news.watcher] = { news, now - news.age };
     return true;
 }
 
-StoreNews StoreNewsBoard::latest(TimePoint now) const
+StoreNews StoreNewsBoard::of(const HostId& watcher, TimePoint now) const
 {
-    StoreNews news = m_latest;
-    if (!news.watcher.value().empty())
-        news.age = now - m_answered;
+    const auto known = m_entries.find(watcher);
+    if (known == m_entries.end())
+        return {};
+    StoreNews news = known->second.news;
+    news.age = now - known->second.answered;
     return news;
 }
 
-Duration StoreNewsBoard::age(TimePoint now) const
+std::vector<StoreNews> StoreNewsBoard::latest(TimePoint now, std::size_t count) const
 {
-    return m_latest.watcher.value().empty() ? Duration::max() : now - m_answered;
+    std::vector<StoreNews> newest;
+    for (const auto& [watcher, entry] : m_entries) {
+        newest.push_back(entry.news);
+        newest.back().age = now - entry.answered;
+    }
+    std::stable_sort(
+        newest.begin(), newest.end(), [](const StoreNews& a, const StoreNews& b) { return a.age < b.age; });
+    if (newest.size() > count)
+        newest.resize(count);
+    return newest;
 }
 
 } // namespace fuchsialb::internal
--- a/packages/core/fuchsialb/src/Member/StoreNewsBoard.h
+++ b/packages/core/fuchsialb/src/Member/StoreNewsBoard.h
@@ -3,25 +3,27 @@
 #include "Membership.h"
 
 #include <map>
-#include <optional>
-#include <utility>
+#include <vector>
 
 namespace fuchsialb::internal {
 
-/// \brief The newest news from the store, taken once for each answer of each watcher.
+/// \brief The newest news of the store by each watcher, taken once for each answer.
 class StoreNewsBoard {
 public:
     /// \return Whether the news was not known before.
     bool take(const StoreNews& news, TimePoint now);
-    /// \return The newest news with its age at `now`; without a watcher when there is none.
-    StoreNews latest(TimePoint now) const;
-    /// \return `Duration::max()` when there is no news.
-    Duration age(TimePoint now) const;
+    /// \return The news by `watcher` with its age at `now`.
+    StoreNews of(const HostId& watcher, TimePoint now) const;
+    /// \return The newest news of up to `count` watchers, newest first, with their age at `now`.
+    std::vector<StoreNews> latest(TimePoint now, std::size_t count) const;
 
 private:
-    std::map<HostId, std::pair<Incarnation, std::uint64_t>> m_seen;
-    StoreNews m_latest;
-    TimePoint m_answered;
+    struct Entry {
+        StoreNews news;
+        TimePoint answered;
+    };
+
+    std::map<HostId, Entry> m_entries;
 };
 
 } // namespace fuchsialb::internal
--- a/packages/core/fuchsialb/src/Member/SwimMembership.cpp
+++ b/packages/core/fuchsialb/src/Member/SwimMembership.cpp
@@ -61,19 +61,19 @@
 
     void SwimMembership::onProbe(const HostId& from, const Probe& probe)
     {
-        const bool news = m_news.take(probe.storeNews, m_clock.now());
+        takeNews(probe.storeNews, probe.hops > 0);
         absorb(from, probe);
         if (probe.subject == m_self.host)
             reply(from, probe);
         else if (!probe.subject.value().empty())
             probeOnBehalf(from, probe);
         if (probe.hops > 0)
-            relay(probe, news);
+            relay(probe);
     }
 
     void SwimMembership::onReply(const HostId& from, const ProbeReply& reply)
     {
-        m_news.take(reply.storeNews, m_clock.now());
+        takeNews(reply.storeNews, false);
         absorb(from, reply);
         if (reply.subject == from)
             m_table.answered(from);
@@ -91,8 +91,7 @@
             const std::uint64_t sequence = onBehalf->second.sequence;
             m_onBehalf.erase(onBehalf);
             send(requester,
-                ProbeReply { sequence, reply.subject, m_news.latest(m_clock.now()), m_self.configuration,
-                    piggyback(requester), {} });
+                ProbeReply { sequence, reply.subject, newsToSend(), m_self.configuration, piggyback(requester), {} });
         }
     }
 
@@ -167,7 +166,7 @@
 
     void SwimMembership::reply(const HostId& from, const Probe& probe)
     {
-        ProbeReply answer { probe.sequence, m_self.host, m_news.latest(m_clock.now()), m_self.configuration, {}, {} };
+        ProbeReply answer { probe.sequence, m_self.host, newsToSend(), m_self.configuration, {}, {} };
         const bool remote = std::any_of(probe.members.begin(), probe.members.end(),
             [&](const Member& member) { return member.host == from && member.dataCentre != m_self.dataCentre; });
         if (remote)
@@ -197,7 +196,7 @@
         Probe probe;
         probe.sequence = ++m_sequence;
         probe.subject = subject;
-        probe.storeNews = m_news.latest(m_clock.now());
+        probe.storeNews = newsToSend();
         probe.configuration = m_self.configuration;
         probe.members = piggyback(subject);
         return probe;
--- a/packages/core/fuchsialb/src/Member/SwimMembership.h
+++ b/packages/core/fuchsialb/src/Member/SwimMembership.h
@@ -42,7 +42,7 @@
     std::vector<HostId> accepting(const DataCentreId& dataCentre) const override;
     const GroupLoad* load(const GroupId& group) const override { return m_loads.find(group); }
     Duration loadAge(const GroupId& group) const override { return m_loads.age(group, m_clock.now()); }
-    Duration storeAge() const override { return m_news.age(m_clock.now()); }
+    std::vector<StoreNews> storeNews() const override;
     std::uint64_t revision() const override { return m_table.revision() + m_selfRevision; }
     std::vector<MemberSend> takeSends() override;
 
@@ -97,11 +97,14 @@
     void continueAnnouncement(TimePoint now);
 
     // SwimMembershipSpread.cpp: loads, news of the store and other data centres.
-    void relay(const Probe& probe, bool news);
+    void takeNews(const std::vector<StoreNews>& news, bool passOn);
+    void relay(const Probe& probe);
+    std::vector<StoreNews> newsToSend() const;
     void refreshGrid();
     void advertise(TimePoint now);
+    void advertiseNews(TimePoint now);
     void flushRelay(TimePoint now);
-    void toRelays(const RelayItems& items, bool news);
+    void toRelays(const RelayItems& items);
     void sendItems(const HostId& to, const RelayItems& items, std::uint32_t hops);
     void announceConfiguration();
     void exchangeWithBridges(TimePoint now);
@@ -144,9 +147,9 @@
     std::vector<GroupLoad> m_ownLoads;
     std::uint64_t m_storeAnswers = 0;
     bool m_ownNews = false;
+    TimePoint m_nextNews;
     TimePoint m_nextAdvertisement;
     RelayItems m_relay;
-    bool m_relayNews = false;
     std::optional<TimePoint> m_relayDue;
     std::uint64_t m_gridRevision = 0;
 
--- a/packages/core/fuchsialb/src/Member/SwimMembershipSpread.cpp
+++ b/packages/core/fuchsialb/src/Member/SwimMembershipSpread.cpp
@@ -1,6 +1,7 @@
 #include "SwimMembership.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace fuchsialb::internal {
@@ -11,6 +12,8 @@
     constexpr std::string_view newsKey = "store-news";
     constexpr std::string_view configurationKey = "configuration";
     constexpr std::size_t bridgeCount = 2;
+    /// News of both regular watchers.
+    constexpr std::size_t newsPerProbe = 2;
 
 } // namespace
 
@@ -27,7 +30,22 @@
     m_grid.setMembers(localMembers(), usable);
 }
 
-void SwimMembership::relay(const Probe& probe, bool news)
+void SwimMembership::takeNews(const std::vector<StoreNews>& news, bool passOn)
+{
+    for (const StoreNews& item : news) {
+        if (m_news.take(item, m_clock.now()) && passOn)
+            m_relay.news.insert(item.watcher);
+    }
+}
+
+std::vector<StoreNews> SwimMembership::newsToSend() const { return m_news.latest(m_clock.now(), newsPerProbe); }
+
+std::vector<StoreNews> SwimMembership::storeNews() const
+{
+    return m_news.latest(m_clock.now(), std::numeric_limits<std::size_t>::max());
+}
+
+void SwimMembership::relay(const Probe& probe)
 {
     for (const GroupLoad& load : probe.loads)
         m_relay.loads[load.group] = load;
@@ -37,8 +55,7 @@
         if (member.dataCentre != m_self.dataCentre)
             m_relay.members[member.host] = member;
     }
-    m_relayNews = m_relayNews || news;
-    if (!m_relayDue && (!m_relay.empty() || m_relayNews))
+    if (!m_relayDue && !m_relay.empty())
         m_relayDue = m_clock.now() + m_options.relayDelay;
     // A change of state of another data centre's bridge, such as leaving, doesn't wait for the loads.
     if (!m_relay.members.empty())
@@ -50,7 +67,6 @@
     if (!m_relayDue || now < *m_relayDue)
         return;
     m_relayDue.reset();
-    m_relayNews = false;
     const RelayItems items = std::exchange(m_relay, {});
     for (const HostId& host : m_grid.row(m_self.host)) {
         if (host != m_self.host)
@@ -62,7 +78,8 @@
 {
     Probe message;
     message.hops = hops;
-    message.storeNews = m_news.latest(m_clock.now());
+    for (const HostId& watcher : items.news)
+        message.storeNews.push_back(m_news.of(watcher, m_clock.now()));
     message.configuration = m_self.configuration;
     for (const auto& [host, member] : items.members)
         message.members.push_back(member);
@@ -73,7 +90,7 @@
     send(to, std::move(message));
 }
 
-void SwimMembership::toRelays(const RelayItems& items, bool news)
+void SwimMembership::toRelays(const RelayItems& items)
 {
     std::map<HostId, RelayItems> batches;
     for (const auto& [group, load] : items.loads) {
@@ -88,9 +105,9 @@
         for (const HostId& host : m_grid.relays(configurationKey))
             batches[host].members[id] = member;
     }
-    if (news) {
+    for (const HostId& watcher : items.news) {
         for (const HostId& host : m_grid.relays(newsKey))
-            batches[host];
+            batches[host].news.insert(watcher);
     }
     for (const auto& [host, batch] : batches) {
         if (host != m_self.host) {
@@ -98,13 +115,14 @@
             continue;
         }
         Probe own;
+        m_relay.news.insert(batch.news.begin(), batch.news.end());
         for (const auto& [id, member] : batch.members)
             own.members.push_back(member);
         for (const auto& [group, load] : batch.loads)
             own.loads.push_back(load);
         for (const auto& [group, load] : batch.remoteLoads)
             own.remoteLoads.push_back(load);
-        relay(own, news);
+        relay(own);
     }
 }
 
@@ -116,8 +134,19 @@
     RelayItems items;
     for (const GroupLoad& load : m_ownLoads)
         items.loads[load.group] = load;
-    if (!items.empty() || m_ownNews)
-        toRelays(items, std::exchange(m_ownNews, false));
+    if (!items.empty())
+        toRelays(items);
+}
+
+void SwimMembership::advertiseNews(TimePoint now)
+{
+    if (!m_ownNews || now < m_nextNews)
+        return;
+    m_ownNews = false;
+    m_nextNews = now + m_options.loadPeriod / 2;
+    RelayItems items;
+    items.news.insert(m_self.host);
+    toRelays(items);
 }
 
 void SwimMembership::announceConfiguration()
@@ -178,7 +207,7 @@
         Probe probe;
         probe.sequence = ++m_sequence;
         probe.subject = remote.host;
-        probe.storeNews = m_news.latest(now);
+        probe.storeNews = newsToSend();
         probe.configuration = m_self.configuration;
         probe.members = own;
         // The bridges share the other data centres, so that each gets the loads from one of them.
@@ -203,7 +232,7 @@
     }
     m_remoteChanged = false;
     if (!items.empty())
-        toRelays(items, false);
+        toRelays(items);
 }
 
 } // namespace fuchsialb::internal
--- a/packages/core/fuchsialb/src/Member/SwimMembershipTick.cpp
+++ b/packages/core/fuchsialb/src/Member/SwimMembershipTick.cpp
@@ -41,6 +41,7 @@
     synchronise(now);
     refreshGrid();
     advertise(now);
+    advertiseNews(now);
     flushRelay(now);
     exchangeWithBridges(now);
     spreadRemote(now);
--- a/packages/core/tests/support/ControlWorld.cpp
+++ b/packages/core/tests/support/ControlWorld.cpp
@@ -72,32 +72,45 @@
 
 void ControlWorld::flush(WorldHost& host)
 {
-    for (const MemberSend& send : host.membership->takeSends()) {
+    for (MemberSend& send : host.membership->takeSends()) {
         const std::uint64_t size = estimatedSize(send.message);
-        host.bytes += size;
-        ++host.sends;
-        const bool dropped = cut(host.host, send.to) || random.chance(faults.loss);
-        const int copies = dropped ? 0 : (random.chance(faults.duplicate) ? 2 : 1);
-        for (int copy = 0; copy < copies; ++copy) {
-            const auto range = static_cast<std::uint64_t>((faults.maxDelay - faults.minDelay).count()) + 1;
-            after(faults.minDelay + Duration(random.below(range)),
-                [this, from = host.host, send, size] { deliver(from, send, size); });
-        }
+        transmit(
+            host.host, send.to, size, [this, from = host.host, message = std::move(send.message)](WorldHost& receiver) {
+                receiver.membership->onMessage(from, message);
+                flush(receiver);
+            });
     }
 }
 
-void ControlWorld::deliver(const HostId& from, const MemberSend& send, std::uint64_t size)
+Duration ControlWorld::delay()
+{
+    const auto range = static_cast<std::uint64_t>((faults.maxDelay - faults.minDelay).count()) + 1;
+    return faults.minDelay + Duration(random.below(range));
+}
+
+void ControlWorld::transmit(
+    const HostId& from, const HostId& to, std::uint64_t size, std::function<void(WorldHost&)> action)
+{
+    WorldHost& host = hosts.at(from);
+    host.bytes += size;
+    ++host.sends;
+    const bool dropped = cut(from, to) || random.chance(faults.loss);
+    const int copies = dropped ? 0 : (random.chance(faults.duplicate) ? 2 : 1);
+    for (int copy = 0; copy < copies; ++copy)
+        after(delay(), [this, to, size, action] { arrive(to, size, action); });
+}
+
+void ControlWorld::arrive(const HostId& to, std::uint64_t size, const std::function<void(WorldHost&)>& action)
 {
-    if (!up(send.to))
+    if (!up(to))
         return;
-    WorldHost& host = hosts.at(send.to);
+    WorldHost& host = hosts.at(to);
     if (clock.now() < host.pausedUntil) {
-        after(host.pausedUntil - clock.now(), [this, from, send, size] { deliver(from, send, size); });
+        after(host.pausedUntil - clock.now(), [this, to, size, action] { arrive(to, size, action); });
         return;
     }
     host.bytes += size;
-    host.membership->onMessage(from, send.message);
-    flush(host);
+    action(host);
 }
 
 namespace {
@@ -135,8 +148,8 @@
         [](const auto& body) {
             std::uint64_t size
                 = envelopeSize + fixedSize + body.subject.value().size() + sizeOf(body.members) + sizeOf(body.loads);
-            if (!body.storeNews.watcher.value().empty())
-                size += newsSize + body.storeNews.watcher.value().size();
+            for (const StoreNews& news : body.storeNews)
+                size += newsSize + news.watcher.value().size();
             if constexpr (std::is_same_v<std::decay_t<decltype(body)>, Probe>)
                 size += sizeOf(body.remoteLoads) + body.onBehalfOf.value().size();
             return size;
--- a/packages/core/tests/support/ControlWorld.h
+++ b/packages/core/tests/support/ControlWorld.h
@@ -55,6 +55,10 @@
         m_events.emplace(clock.now() + delay, std::move(action));
     }
 
+    /// Sends something over the faulty network; `action` runs at the receiver for each copy that arrives.
+    void transmit(const HostId& from, const HostId& to, std::uint64_t size, std::function<void(WorldHost&)> action);
+    Duration delay();
+
     ManualClock clock;
     Random random;
     NetworkFaults faults;
@@ -70,7 +74,7 @@
 private:
     void scheduleTick(const HostId& host, std::uint64_t incarnation, Duration delay);
     void flush(WorldHost& host);
-    void deliver(const HostId& from, const MemberSend& send, std::uint64_t size);
+    void arrive(const HostId& to, std::uint64_t size, const std::function<void(WorldHost&)>& action);
 
     std::multimap<TimePoint, std::function<void()>> m_events;
 };
