--- a/packages/core/fuchsialb/src/Config/ConfigurationCheck.cpp
+++ b/packages/core/fuchsialb/src/Config/ConfigurationCheck.cpp
@@ -103,8 +103,9 @@
             check.duration(rule.firstTokenTarget, "first_token");
             check.duration(rule.betweenTokensTarget, "between_tokens");
             check.duration(rule.maxQueueWait, "max_queue_wait");
+            const bool fitted = sum <= 1 + rounding;
             sum += rule.share;
-            check.require(!(sum > 1 + rounding) || rule.share > 1, "share",
+            check.require(!fitted || !(sum > 1 + rounding) || rule.share > 1, "share",
                 fmt::format("{} (the shares sum to {})", rule.share, sum), "shares that sum to at most 1");
         }
     }
@@ -178,6 +179,19 @@
             fmt::format("ranges that join up from 0 to {} of model {}", target->second.layers, first.target.value()));
     }
 
+    void checkFirst(const Endpoint& endpoint, const Endpoint& first, const Configuration& all, Problems& problems)
+    {
+        Checker check(problems, EntryKind::Endpoint, endpoint.id.value());
+        const bool known = all.targets.contains(endpoint.target) && all.targets.contains(first.target);
+        if (known && endpoint.target != first.target)
+            check.require(false, "group", endpoint.group.value(),
+                fmt::format("one target in a group; endpoint {} has {}", first.id.value(), first.target.value()));
+        if (endpoint.dataCentre != first.dataCentre)
+            check.require(false, "group", endpoint.group.value(),
+                fmt::format(
+                    "one data centre in a group; endpoint {} is in {}", first.id.value(), first.dataCentre.value()));
+    }
+
     void checkGroups(const Configuration& all, Problems& problems)
     {
         std::map<GroupId, Group> groups;
@@ -185,14 +199,8 @@
             Group& group = groups[endpoint.group];
             if (!group.first)
                 group.first = &endpoint;
-            const Endpoint& first = *group.first;
-            Checker check(problems, EntryKind::Endpoint, id.value());
-            check.require(endpoint.target == first.target, "group", endpoint.group.value(),
-                fmt::format("one target in a group; endpoint {} has {}", first.id.value(), first.target.value()));
-            check.require(endpoint.dataCentre == first.dataCentre, "group", endpoint.group.value(),
-                fmt::format(
-                    "one data centre in a group; endpoint {} is in {}", first.id.value(), first.dataCentre.value()));
-            group.mixed |= endpoint.target != first.target;
+            checkFirst(endpoint, *group.first, all, problems);
+            group.mixed |= endpoint.target != group.first->target;
             group.ranges.emplace(endpoint.layers.first, endpoint.layers.end);
             ++group.size;
         }
--- a/packages/core/fuchsialb/src/Config/ConfigurationCodec.cpp
+++ b/packages/core/fuchsialb/src/Config/ConfigurationCodec.cpp
@@ -2,6 +2,7 @@
 
 #include "../Base/Hash.h"
 #include "ConfigurationCheck.h"
+#include "ConfigurationDocument.h"
 #include "JsonObject.h"
 
 #include <absl/strings/numbers.h>
@@ -213,12 +214,12 @@
 
 } // namespace
 
-std::string encodeConfiguration(const Configuration& configuration)
+nlohmann::json internal::configurationDocument(const Configuration& configuration)
 {
     json ranks = json::object();
     for (Rank rank : allRanks)
         ranks[std::string(rankName(rank))] = encodeEntry(configuration.ranks[rank]);
-    const json document { { "format", configurationFormat }, { "version", configuration.version.value() },
+    return { { "format", configurationFormat }, { "version", configuration.version.value() },
         { "targets", encodeEntries(configuration.targets) }, { "endpoints", encodeEntries(configuration.endpoints) },
         { "organisations", encodeEntries(configuration.organisations) },
         { "accelerators", encodeEntries(configuration.acceleratorKinds) },
@@ -226,7 +227,11 @@
         { "default_rank", rankName(configuration.defaultRank) },
         { "serve_unlisted_organisations", configuration.serveUnlistedOrganisations },
         { "claim_retention_hours", configuration.claimRetention.count() } };
-    return document.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+std::string encodeConfiguration(const Configuration& configuration)
+{
+    return internal::configurationDocument(configuration).dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
 absl::StatusOr<Configuration> decodeConfiguration(std::string_view bytes)
