Carry store news of several watchers and pass it to the configuration

Cause: membership now travels with news of several watchers, and the spread of the configuration reads it. Change: repeated field with a limit, router passes the news on before each tick and gives the codec hooks. Conclusion: control is joined in the router.

--- a/packages/core/fuchsialb/src/Router/Router.cpp
+++ b/packages/core/fuchsialb/src/Router/Router.cpp
@@ -1,5 +1,7 @@
 #include "Router.h"
 
+#include "../Config/ConfigurationCodec.h"
+
 #include <algorithm>
 #include <set>
 #include <utility>
@@ -23,6 +25,9 @@
     auto membership = Membership::create(std::move(self), options.membership, clock, random);
     if (!membership.ok())
         return membership.status();
+    options.spread.decode = decodeConfiguration;
+    options.spread.decodeHead = decodeHead;
+    options.spread.chunkKey = chunkKey;
     auto spread = ConfigurationSpread::create(options.self, options.dataCentre, options.spread, clock);
     if (!spread.ok())
         return spread.status();
@@ -93,7 +98,9 @@
 void Router::on(const Tick&)
 {
     m_membership->tick();
+    m_spread->onStoreNews(m_membership->storeNews());
     m_spread->tick();
+    m_membership->setStoreAnswers(m_spread->status().storeAnswers);
     m_entries->tick();
     m_schedulers->tick();
     if (m_draining)
--- a/packages/net/tests/PeerTransportTest.cpp
+++ b/packages/net/tests/PeerTransportTest.cpp
@@ -76,7 +76,7 @@
     std::unique_ptr<PeerTransport> transport;
 };
 
-PeerMessage numbered(std::uint32_t number) { return TokensDelivered { RequestId(), number, { "x" } }; }
+PeerMessage numbered(std::uint32_t number) { return TokensDelivered { RequestId(), 1, number, { "x" } }; }
 
 std::uint32_t numberOf(const PeerMessage& message) { return std::get<TokensDelivered>(message).position; }
 
@@ -168,7 +168,7 @@
     SECTION("a message larger than a peer accepts")
     {
         Host b("b", options);
-        a.transport->send(HostId("b"), b.address(), TokensDelivered { RequestId(), 0, { std::string(1000, 'x') } });
+        a.transport->send(HostId("b"), b.address(), TokensDelivered { RequestId(), 1, 0, { std::string(1000, 'x') } });
         a.transport->send(HostId("b"), b.address(), numbered(2));
         REQUIRE(b.awaitReceived(1));
         CHECK(a.dropped() == std::vector { Reason::BodyTooLarge });
--- a/packages/wire/fuchsialb/src/Wire/PeerMessageDecode.cpp
+++ b/packages/wire/fuchsialb/src/Wire/PeerMessageDecode.cpp
@@ -132,16 +132,18 @@
         To to;
         to.sequence = from.sequence();
         to.subject = HostId(in.text(from.subject(), internal::maxIdBytes, "subject"));
-        to.storeNews = decodeNews(in, from.store_news());
         to.configuration = ConfigurationVersion(from.configuration());
         in.require(from.members_size() <= internal::maxMembers, "too many members");
         in.require(from.loads_size() <= internal::maxLoads, "too many loads");
+        in.require(from.store_news_size() <= internal::maxStoreNews, "too much store news");
         if (!in.status().ok())
             return to;
         for (const wire::Member& member : from.members())
             to.members.push_back(decodeMember(in, member));
         for (const wire::GroupLoad& load : from.loads())
             to.loads.push_back(decodeLoad(in, load));
+        for (const wire::StoreNews& news : from.store_news())
+            to.storeNews.push_back(decodeNews(in, news));
         return to;
     }
 
--- a/packages/wire/fuchsialb/src/Wire/PeerMessageEncode.cpp
+++ b/packages/wire/fuchsialb/src/Wire/PeerMessageEncode.cpp
@@ -64,7 +64,8 @@
             encode(member, *to.add_members());
         for (const GroupLoad& load : from.loads)
             encode(load, *to.add_loads());
-        encode(from.storeNews, *to.mutable_store_news());
+        for (const StoreNews& news : from.storeNews)
+            encode(news, *to.add_store_news());
     }
 
     void encode(const Request& from, wire::Request& to)
--- a/packages/wire/fuchsialb/src/Wire/WireLimits.h
+++ b/packages/wire/fuchsialb/src/Wire/WireLimits.h
@@ -26,6 +26,8 @@
 inline constexpr int maxTokensPerMessage = 131'072;
 /// Most tokens that a resubmitted request brings along; the most that a caller may ask for.
 inline constexpr int maxGeneratedTokens = 131'072;
+/// Most watchers whose news travels in one probe.
+inline constexpr int maxStoreNews = 64;
 /// Most relays that a probe's loads pass through.
 inline constexpr std::uint32_t maxHops = 8;
 /// Highest number of a submission; an entry daemon gives up far earlier.
--- a/packages/wire/tests/PeerMessageTest.cpp
+++ b/packages/wire/tests/PeerMessageTest.cpp
@@ -138,7 +138,11 @@
              for (wire::GroupLoad& added = *to.add_remote_loads(); added.wait_us_size() < 3; added.add_wait_us(1))
                  added.set_group("g");
      }) },
-    { "age of store news over a week", probe([](auto& to) { to.mutable_store_news()->set_age_us(week + 1); }) },
+    { "too much store news", probe([](auto& to) {
+         for (int i = 0; i < 65; ++i)
+             to.add_store_news();
+     }) },
+    { "age of store news over a week", probe([](auto& to) { to.add_store_news()->set_age_us(week + 1); }) },
     { "too many members", probe([](auto& to) {
          for (int i = 0; i < 4097; ++i)
              to.add_members()->set_host("h"), to.mutable_members(i)->set_data_centre("d");
--- a/packages/wire/tests/support/PeerMessages.cpp
+++ b/packages/wire/tests/support/PeerMessages.cpp
@@ -53,7 +53,9 @@
                 any(below, MemberState::Dead), Incarnation(below(anyNumber)), ConfigurationVersion(below(anyNumber)) });
             message.loads.push_back(load(below));
         }
-        message.storeNews = { HostId(id(below)), Incarnation(below(anyNumber)), below(anyNumber), duration(below) };
+        for (std::uint64_t i = below(4); i > 0; --i)
+            message.storeNews.push_back(
+                { HostId(id(below)), Incarnation(below(anyNumber)), below(anyNumber), duration(below) });
         return message;
     }
 
