--- /dev/null
+++ b/packages/net/fuchsialb/src/Net/CurlExchange.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "HttpClient.h"
+
+#include <curl/curl.h>
+
+#include <memory>
+
+namespace fuchsialb::internal {
+
+/// \brief One exchange of the HTTP client: its easy handle, what arrived so far and its handlers.
+///
+/// Used on the client's thread only.
+class CurlExchange {
+public:
+    CurlExchange(HttpExchangeId id, HttpRequest request, HttpHandlers handlers, Bytes maxBody);
+    ~CurlExchange();
+
+    CurlExchange(const CurlExchange&) = delete;
+    CurlExchange& operator=(const CurlExchange&) = delete;
+
+    /// Sets the options of the easy handle.
+    /// \return Whether curl took all of them.
+    bool prepare();
+
+    CURL* handle() const { return m_easy; }
+    HttpExchangeId id() const { return m_id; }
+    bool limitsSilence() const { return m_request.silenceTimeout > Duration::zero(); }
+    /// \return Whether nothing has arrived for the request's silence timeout.
+    bool isSilent(TimePoint now) const;
+
+    /// Reports the end of the transfer to the handlers.
+    void finish(CURLcode code);
+    /// Reports an end that curl did not decide.
+    void fail(Reason reason, std::string_view detail);
+
+private:
+    static std::size_t receiveHeader(char* data, std::size_t size, std::size_t count, void* self);
+    static std::size_t receiveBody(char* data, std::size_t size, std::size_t count, void* self);
+    static int beforeRequest(void* self, char* remoteAddress, char* localAddress, int remotePort, int localPort);
+
+    void report(absl::Status status);
+    void setMethod();
+    void setHeaders();
+    void takeHeaderLine(std::string_view line);
+    bool takeBody(std::string_view piece);
+    bool mayBeSentAgain() const;
+    bool wroteNothing() const;
+    bool wasConnected() const;
+    absl::Status statusOf(CURLcode code) const;
+
+    HttpExchangeId m_id;
+    HttpRequest m_request;
+    HttpHandlers m_handlers;
+    std::size_t m_maxBody;
+    CURL* m_easy;
+    curl_slist* m_headers = nullptr;
+    HttpResponse m_response;
+    TimePoint m_lastArrival;
+    std::uint32_t m_sends = 0;
+    bool m_bodyTooLarge = false;
+};
+
+} // namespace fuchsialb::internal
--- a/packages/net/fuchsialb/src/Net/HttpClient.h
+++ b/packages/net/fuchsialb/src/Net/HttpClient.h
@@ -51,7 +51,8 @@
 
 /// \brief Callbacks of one exchange; all run on the client's own thread.
 struct HttpHandlers {
-    /// Called for each piece of a streamed body; when empty the body is collected in the response.
+    /// Called for each piece of a streamed body; when empty, or when the status is not 2xx, the body is collected in
+    /// the response.
     std::function<void(std::string_view piece)> onPiece;
     std::function<void(HttpResponse response)> onResponse;
     std::function<void(HttpFailure failure)> onFailure;
@@ -63,7 +64,7 @@
     struct Options {
         /// Most exchanges that wait or run at once.
         std::size_t capacity = 16384;
-        Bytes maxBody { 16 * 1024 * 1024 };
+        Bytes maxBody { 16'777'216 };
     };
 
     static absl::StatusOr<std::unique_ptr<HttpClient>> create(Options options);
--- a/packages/net/fuchsialb/src/Net/HttpServer.h
+++ b/packages/net/fuchsialb/src/Net/HttpServer.h
@@ -52,8 +52,8 @@
         std::string address = "127.0.0.1";
         /// 0 picks a free port.
         std::uint16_t port = 0;
-        Bytes maxBody { 8 * 1024 * 1024 };
-        Bytes maxHeaders { 32 * 1024 };
+        Bytes maxBody { 8'388'608 };
+        Bytes maxHeaders { 32'768 };
         std::size_t maxConnections = 4096;
         /// A client that sends its request more slowly than this is cut off.
         Duration readTimeout { std::chrono::seconds(10) };
