--- a/packages/net/fuchsialb/Net.h
+++ b/packages/net/fuchsialb/Net.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /// \file
-/// Input and output shared by the binaries: clock, logger, rings, HTTP client and peer transport.
+/// Input and output shared by the binaries: clock, logger, rings, HTTP client and server, and peer transport.
 
 #include "src/Net/HttpClient.h"
 #include "src/Net/HttpServer.h"
