Join the daemon: callers, operators, peers, platform and endpoints

Cause: the parts of the daemon stood beside each other. Change: Daemon owns the threads and hooks, PlatformLink carries store operations and reads the host list, main checks settings and drains on a signal or on an operator's request. Before: a main that did nothing. After: not linked yet; the store client and the claim log are still missing.

--- a/packages/daemon/main.cpp
+++ b/packages/daemon/main.cpp
@@ -1,1 +1,56 @@
-int main() { return 0; }
+#include "fuchsialb/src/Daemon/Daemon.h"
+#include "fuchsialb/src/Daemon/Settings.h"
+
+#include <fmt/format.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <string>
+#include <vector>
+
+namespace {
+
+constexpr int exitUsage = 2;
+constexpr int exitNotDrained = 3;
+constexpr timespec signalPollPeriod { 0, 100'000'000 };
+
+std::optional<std::string> environmentVariable(const std::string& name)
+{
+    const char* value = std::getenv(name.c_str());
+    return value ? std::optional<std::string>(value) : std::nullopt;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    const std::vector<std::string> arguments(argv + 1, argv + argc);
+    const auto commandLine = fuchsialb::parseCommandLine(arguments, environmentVariable);
+    if (!commandLine.ok()) {
+        fmt::print(stderr, "fuchsialbd: {}\n", std::string(commandLine.status().message()));
+        return exitUsage;
+    }
+    if (!commandLine->settings) {
+        fmt::print("{}", commandLine->text);
+        return EXIT_SUCCESS;
+    }
+    // Blocked before any thread starts, so that only the sigwait below receives them.
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+
+    const auto daemon = fuchsialb::Daemon::create(*commandLine->settings);
+    if (!daemon.ok()) {
+        fmt::print(stderr, "fuchsialbd: {}\n", std::string(daemon.status().message()));
+        return exitUsage;
+    }
+    // An operator's drain ends the wait as a signal does.
+    while (!(*daemon)->draining()) {
+        if (sigtimedwait(&signals, nullptr, &signalPollPeriod) > 0)
+            (*daemon)->drain();
+    }
+    return (*daemon)->waitUntilDrained() ? EXIT_SUCCESS : exitNotDrained;
+}
