--- a/packages/core/fuchsialb/src/Sched/FairQueue.h
+++ b/packages/core/fuchsialb/src/Sched/FairQueue.h
@@ -55,6 +55,8 @@
     /// \return The newest request of each organisation and, as a fluid estimate, the cost that is served before it.
     std::vector<std::pair<RequestId, double>> tails(Rank rank) const;
 
+    /// \return Estimated cost of all that is queued in a rank.
+    double backlog(Rank rank) const { return m_ranks[rank].backlog; }
     std::size_t size(Rank rank) const { return m_ranks[rank].size; }
     std::size_t size() const;
     bool empty() const { return size() == 0; }
--- a/packages/core/fuchsialb/src/Sched/SchedulerBase.cpp
+++ b/packages/core/fuchsialb/src/Sched/SchedulerBase.cpp
@@ -384,8 +384,12 @@
 {
     GroupLoad load;
     load.group = m_group;
+    // The whole backlog, not what fair queueing puts ahead of a new organisation: groups are to be kept equally full.
+    const Duration untilRoom = fromSeconds(secondsUntilRoom());
     for (Rank rank : allRanks)
-        load.wait[rank] = predictedWait(rank, OrganisationId(), 1.0, 1.0);
+        load.wait[rank] = m_queue.size(rank) == 0 && rank == Rank::Urgent && canPreempt()
+            ? Duration(0)
+            : untilRoom + m_admission->wait(rank, m_queue.backlog(rank));
     load.running = static_cast<std::uint32_t>(m_running.size());
     load.slots = m_fleet.slots(now());
     return load;
--- a/packages/core/tests/SchedClaimsTest.cpp
+++ b/packages/core/tests/SchedClaimsTest.cpp
@@ -53,3 +53,121 @@
     }
     CHECK(driver.faults.empty());
 }
+
+// Guards against work at endpoints that can't tell a repeated key while no claim stands.
+TEST_CASE("While the store is unavailable only deduplicating endpoints are used")
+{
+    Configuration configuration = schedService(2, 4);
+    configuration.endpoints[EndpointId("s1")].deduplicates = true;
+    SchedDriver driver(configuration);
+    driver.verdict = { ClaimVerdict::Unavailable, 0 };
+    for (std::uint64_t number = 1; number <= 4; ++number)
+        driver.submit(schedCall(number, false));
+    driver.submit(schedCall(5, true));
+    driver.advance(1s);
+    for (const CallService& call : driver.all<CallService>()) {
+        if (call.request != SchedDriver::id(5))
+            CHECK(call.endpoint == EndpointId("s1"));
+    }
+    for (std::uint64_t number = 1; number <= 5; ++number)
+        CHECK(driver.result(number).outcome == Outcome::Completed);
+    // No claim stands, so there is nothing to settle.
+    CHECK(driver.all<ClaimSettled>().empty());
+}
+
+// Guards against a repeated non-idempotent call, lost claims, and retries without bound.
+TEST_CASE("A failed call is retried only when that is safe and within the budget")
+{
+    SchedDriver driver(schedService(3, 4));
+    driver.plays = false;
+
+    SECTION("idempotent: retried elsewhere after any failure, at most twice")
+    {
+        driver.submit(schedCall(1, true));
+        std::set<EndpointId> tried;
+        for (int i = 0; i < 3; ++i) {
+            const CallService call = driver.last<CallService>();
+            tried.insert(call.endpoint);
+            driver.scheduler->onServiceFailed(
+                call.request, call.attempt, FailureProof::MayHaveRun, Reason::ConnectionLost);
+            // A second report of the same failure counts for nothing.
+            driver.scheduler->onServiceFailed(
+                call.request, call.attempt, FailureProof::NotStarted, Reason::ConnectFailed);
+            driver.pump();
+        }
+        CHECK(tried.size() == 3);
+        CHECK(driver.all<CallService>().size() == 3);
+        CHECK(driver.result(1).outcome == Outcome::Unknown);
+    }
+
+    SECTION("non-idempotent: not repeated when it may have run")
+    {
+        driver.submit(schedCall(1, false));
+        const ClaimNeeded claim = driver.last<ClaimNeeded>();
+        driver.scheduler->onClaim(claim.request, claim.attempt, { ClaimVerdict::Granted, 0 });
+        driver.pump();
+        const CallService call = driver.last<CallService>();
+        driver.scheduler->onServiceFailed(call.request, call.attempt, FailureProof::MayHaveRun, Reason::ConnectionLost);
+        driver.advance(5s);
+        CHECK(driver.all<CallService>().size() == 1);
+        CHECK(driver.result(1).outcome == Outcome::Unknown);
+        REQUIRE(driver.all<ClaimSettled>().size() == 1);
+        CHECK(driver.last<ClaimSettled>().outcome == Outcome::Unknown);
+    }
+
+    SECTION("non-idempotent: repeated when it did not start, and the claim is released when it is given up")
+    {
+        driver.plays = true;
+        driver.dead = { "s0", "s1", "s2" };
+        driver.submit(schedCall(1, false));
+        driver.advance(30s);
+        CHECK(driver.all<CallService>().size() == 3);
+        CHECK(driver.all<ClaimNeeded>().size() == 1);
+        CHECK(driver.result(1).outcome == Outcome::NotRun);
+        CHECK(driver.result(1).retryAfter.has_value());
+        REQUIRE(driver.all<ClaimSettled>().size() == 1);
+        CHECK(driver.last<ClaimSettled>().attempt == driver.last<ClaimNeeded>().attempt);
+        CHECK(driver.last<ClaimSettled>().outcome == Outcome::NotRun);
+    }
+
+    SECTION("a broken service gets at most a tenth of the requests on top")
+    {
+        driver.plays = true;
+        driver.dead = { "s0", "s1", "s2" };
+        constexpr std::size_t requests = 200;
+        for (std::uint64_t number = 1; number <= requests; ++number) {
+            driver.submit(schedCall(number, true));
+            driver.advance(100ms);
+        }
+        driver.advance(30s);
+        const std::size_t retries = driver.decisions(Reason::Retried);
+        CHECK(retries > 0);
+        // The floor of the budget is 3 and 0.5 a second.
+        CHECK(retries <= requests / 10 + 3 + 25);
+    }
+    CHECK(driver.faults.empty());
+}
+
+// Guards against a claim that stays taken by a request that was answered "not run" (P3).
+TEST_CASE("A claim granted too late is released")
+{
+    SchedDriver driver(schedService(1, 1));
+    driver.plays = false;
+    driver.submit(schedCall(1, false));
+    const ClaimNeeded claim = driver.last<ClaimNeeded>();
+    const bool cancelled = GENERATE(true, false);
+    if (cancelled)
+        driver.scheduler->cancel(claim.request);
+    else
+        driver.advance(21s);
+    driver.pump();
+    CHECK(driver.result(1).outcome == Outcome::NotRun);
+    CHECK_FALSE(driver.scheduler->idle());
+    driver.scheduler->onClaim(claim.request, claim.attempt, { ClaimVerdict::Granted, 0 });
+    driver.pump();
+    CHECK(driver.all<CallService>().empty());
+    REQUIRE(driver.all<ClaimSettled>().size() == 1);
+    CHECK(driver.last<ClaimSettled>().outcome == Outcome::NotRun);
+    CHECK(driver.scheduler->idle());
+    CHECK(driver.faults.empty());
+}
--- a/packages/core/tests/SchedRecoveryTest.cpp
+++ b/packages/core/tests/SchedRecoveryTest.cpp
@@ -1,3 +1,4 @@
+#include "fuchsialb/Base.h"
 #include "tests/support/SchedDriver.h"
 
 #include <catch2/catch.hpp>
@@ -59,3 +60,244 @@
     }
     CHECK(driver.faults.empty());
 }
+
+// Guards against a stage failure that loses, repeats or changes tokens, or that ends the request.
+TEST_CASE("A stage failure is recovered from the last token")
+{
+    Configuration configuration = schedModel(3, 4);
+    SchedDriver driver(configuration);
+    const RequestId id = SchedDriver::id(1);
+
+    SECTION("by replay when a later stage fails")
+    {
+        driver.submit(schedRequest(1));
+        driver.advance(200ms);
+        const StartRun first = driver.last<StartRun>();
+        const auto before = driver.delivered[id].size();
+        driver.kill(first.route[1].endpoint.value());
+        REQUIRE(driver.all<ReplayState>().size() == 1);
+        const ReplayState replay = driver.last<ReplayState>();
+        CHECK(replay.upstream == first.route[0]);
+        CHECK(replay.positions == 100 + before);
+        driver.advance(2s);
+        const StartRun second = driver.last<StartRun>();
+        CHECK(second.epoch > first.epoch);
+        CHECK(second.attempt == first.attempt);
+        CHECK(second.generated.size() == before);
+        CHECK(second.route[0] == first.route[0]);
+        CHECK(second.route[1] == replay.to);
+        CHECK(driver.decisions(Reason::RecoveredByReplay) == 1);
+    }
+
+    SECTION("by recomputation of the prefix when the head fails")
+    {
+        driver.submit(schedRequest(1));
+        driver.advance(200ms);
+        const StartRun first = driver.last<StartRun>();
+        driver.kill(first.route[0].endpoint.value());
+        driver.advance(2s);
+        CHECK(driver.decisions(Reason::RecoveredByPrefix) == 1);
+        CHECK(driver.last<StartRun>().route[1] == first.route[1]);
+        CHECK(driver.all<ReplayState>().empty());
+    }
+
+    SECTION("by import when computing costs more than copying")
+    {
+        configuration.acceleratorKinds[AcceleratorKindId("k")].layerPerPromptToken = 200us;
+        configuration.endpoints[EndpointId("b2")].state = EndpointState::Leaving;
+        driver.scheduler->configure(configuration);
+        const Request request = schedRequest(1);
+        driver.scheduler->onCacheEvent(EndpointId("b2"), hash64(request.prompt), true);
+        driver.submit(request);
+        driver.advance(200ms);
+        const StartRun first = driver.last<StartRun>();
+        driver.stateMoves = GENERATE(true, false);
+        driver.kill(first.route[1].endpoint.value());
+        REQUIRE(driver.all<ImportState>().size() == 1);
+        CHECK(driver.last<ImportState>().from.endpoint == EndpointId("b2"));
+        CHECK(driver.last<ImportState>().positions == 100);
+        driver.advance(2s);
+        // A failed move falls back to the next cheapest way, each under an epoch of its own.
+        const std::size_t fallbacks = driver.stateMoves ? 0 : 1;
+        CHECK(driver.all<ReplayState>().size() == fallbacks);
+        CHECK(driver.decisions(Reason::RecoveredByPrefix) == fallbacks);
+        CHECK(driver.last<StartRun>().epoch.value() == first.epoch.value() + 1 + 2 * fallbacks);
+    }
+
+    SECTION("when the successor fails too, before its first token")
+    {
+        driver.submit(schedRequest(1));
+        driver.advance(200ms);
+        driver.kill(driver.last<StartRun>().route[1].endpoint.value());
+        driver.advance(20ms);
+        REQUIRE(driver.all<StartRun>().size() == 2);
+        driver.kill(driver.last<StartRun>().route[1].endpoint.value());
+        driver.advance(2s);
+        CHECK(driver.all<StartRun>().size() == 3);
+    }
+
+    SECTION("when two stages fail at once")
+    {
+        driver.submit(schedRequest(1));
+        driver.advance(200ms);
+        const StartRun first = driver.last<StartRun>();
+        driver.kill(first.route[1].endpoint.value());
+        driver.kill(first.route[0].endpoint.value());
+        driver.advance(3s);
+    }
+
+    SECTION("when a stage falls silent")
+    {
+        driver.silent = { "a0", "a1", "a2" };
+        driver.submit(schedRequest(1));
+        driver.silent.clear();
+        driver.advance(1450ms);
+        CHECK(driver.all<StartRun>().size() == 1);
+        driver.advance(2s);
+        CHECK(driver.all<StartRun>().size() == 2);
+    }
+
+    SECTION("when the connection fails after the last token")
+    {
+        driver.submit(schedRequest(1));
+        driver.advance(420ms);
+        REQUIRE(driver.delivered[id].size() == 10);
+        driver.kill(driver.last<StartRun>().route[0].endpoint.value());
+        CHECK(driver.all<StartRun>().size() == 1);
+    }
+    CHECK(driver.delivered[id] == whole(10));
+    REQUIRE(driver.finished(1));
+    CHECK(driver.result(1).outcome == Outcome::Completed);
+    CHECK(driver.scheduler->idle());
+    CHECK(driver.scheduler->load().running == 0);
+    CHECK(driver.faults.empty());
+}
+
+// Guards against a request that is forgotten, or started from zero, when no runner is left for its layers.
+TEST_CASE("Without a successor a request waits with its tokens")
+{
+    SchedDriver driver(schedModel(1, 4));
+    Request request = schedRequest(1);
+    request.timeLeft = 3s;
+    driver.submit(request);
+    driver.advance(200ms);
+    const auto before = driver.delivered[request.id].size();
+    driver.kill("b0");
+
+    SECTION("until a runner returns, with a slow start")
+    {
+        driver.submit(schedRequest(2));
+        driver.submit(schedRequest(3));
+        driver.revive("b0");
+        driver.advance(250ms);
+        CHECK(driver.scheduler->load().slots == 1);
+        CHECK(driver.last<StartRun>().request == request.id);
+        CHECK(driver.last<StartRun>().generated.size() == before);
+        driver.advance(260ms);
+        CHECK(driver.scheduler->load().slots == 2);
+        driver.advance(3s);
+        CHECK(driver.scheduler->load().slots == 4);
+        CHECK(driver.delivered[request.id] == whole(10));
+        CHECK(driver.result(3).outcome == Outcome::Completed);
+    }
+
+    SECTION("until its deadline, and then it is not called unstarted")
+    {
+        driver.scheduler->onLoadReport({ EndpointId("b0"), 0, 0, 0us });
+        driver.advance(2700ms);
+        CHECK_FALSE(driver.finished(1));
+        driver.advance(400ms);
+        REQUIRE(driver.finished(1));
+        CHECK(driver.result(1).outcome == Outcome::Unknown);
+        CHECK(driver.result(1).reason == Reason::DeadlineExceeded);
+        CHECK(driver.result(1).generatedTokens == before);
+    }
+    CHECK(driver.faults.empty());
+}
+
+// Guards against a second run of a non-idempotent model request.
+TEST_CASE("A non-idempotent run is resumed but never restarted from zero")
+{
+    SchedDriver driver(schedModel(2, 4));
+    Request request = schedRequest(1);
+    request.idempotent = false;
+    request.idempotencyKey = "key";
+    driver.submit(request);
+    CHECK(driver.all<StartRun>().empty());
+    driver.advance(10ms);
+    REQUIRE(driver.all<StartRun>().size() == 1);
+    const StartRun first = driver.last<StartRun>();
+    CHECK(first.attempt == driver.last<ClaimNeeded>().attempt);
+
+    SECTION("the head is lost before the first token")
+    {
+        driver.kill(first.route[0].endpoint.value());
+        driver.advance(3s);
+        CHECK(driver.all<StartRun>().size() == 1);
+        CHECK(driver.result(1).outcome == Outcome::Unknown);
+        CHECK(driver.last<ClaimSettled>().outcome == Outcome::Unknown);
+    }
+
+    SECTION("the head falls silent before the first token")
+    {
+        driver.scheduler->cancel(request.id);
+        driver.plays = false;
+        driver.kill("none");
+        driver.scheduler->onRunFailed(
+            first.request, first.attempt, first.epoch, 0, FailureProof::MayHaveRun, Reason::ConnectionSilent);
+        driver.advance(3s);
+        CHECK(driver.all<StartRun>().size() == 1);
+        CHECK(driver.result(1).outcome == Outcome::Unknown);
+    }
+
+    SECTION("another stage is lost before the first token: the head is kept")
+    {
+        driver.kill(first.route[1].endpoint.value());
+        driver.advance(3s);
+        CHECK(driver.last<StartRun>().route[0] == first.route[0]);
+        CHECK(driver.result(1).outcome == Outcome::Completed);
+    }
+
+    SECTION("the head is lost after the first token: the attempt goes on under a new epoch")
+    {
+        driver.advance(100ms);
+        driver.kill(first.route[0].endpoint.value());
+        driver.advance(3s);
+        CHECK(driver.last<StartRun>().attempt == first.attempt);
+        CHECK(driver.last<StartRun>().epoch > first.epoch);
+        CHECK(driver.last<StartRun>().generated.size() == 2);
+        CHECK(driver.last<ClaimSettled>().outcome == Outcome::Completed);
+        CHECK(driver.delivered[request.id] == whole(10));
+    }
+    CHECK(driver.all<ClaimSettled>().size() == 1);
+    CHECK(driver.faults.empty());
+}
+
+// Guards against urgent work that waits behind borrowed capacity, and against tokens sent twice after a preemption.
+TEST_CASE("An urgent request preempts the youngest stream on borrowed share")
+{
+    SchedDriver driver(schedModel(1, 2));
+    const Rank rank = GENERATE(Rank::Summary, Rank::Recording);
+    driver.submit(schedRequest(1, rank, 40));
+    driver.advance(100ms);
+    driver.submit(schedRequest(2, rank, 40));
+    driver.advance(400ms);
+    const auto before = driver.delivered[SchedDriver::id(2)].size();
+    REQUIRE(before > 0);
+    driver.submit(schedRequest(3, Rank::Urgent, 5));
+    REQUIRE(driver.all<CancelRun>().size() == 1);
+    CHECK(driver.last<CancelRun>().request == SchedDriver::id(2));
+    CHECK(driver.last<StartRun>().request == SchedDriver::id(3));
+    // The remaining stream is within its guarantee or the last one: it is left alone.
+    driver.submit(schedRequest(4, Rank::Urgent, 5));
+    driver.advance(5s);
+    CHECK(driver.delivered[SchedDriver::id(2)] == whole(40));
+    CHECK(driver.delivered[SchedDriver::id(1)] == whole(40));
+    const auto runs = driver.all<StartRun>();
+    const auto resumed = std::find_if(
+        runs.rbegin(), runs.rend(), [](const StartRun& run) { return run.request == SchedDriver::id(2); });
+    CHECK(resumed->generated.size() == before);
+    CHECK(driver.result(2).outcome == Outcome::Completed);
+    CHECK(driver.result(3).outcome == Outcome::Completed);
+    CHECK(driver.faults.empty());
+}
