--- a/packages/core/fuchsialb/src/Sched/SchedulerBase.cpp
+++ b/packages/core/fuchsialb/src/Sched/SchedulerBase.cpp
@@ -147,9 +147,9 @@
     return least / std::max(costPerSlotSecond(), 1e-6);
 }
 
-Duration SchedulerBase::predictedWait(Rank rank, const OrganisationId& organisation, double weight) const
+Duration SchedulerBase::predictedWait(Rank rank, const OrganisationId& organisation, double weight, double cost) const
 {
-    const double ahead = m_queue.costAhead(rank, organisation, weight);
+    const double ahead = m_queue.costAhead(rank, organisation, weight, cost);
     if (ahead <= 0 && rank == Rank::Urgent && canPreempt())
         return Duration(0);
     return fromSeconds(secondsUntilRoom()) + m_admission->wait(rank, ahead);
@@ -178,7 +178,7 @@
     request.claimAttempt = AttemptId(m_random.bits128());
     setLimits(request);
     const Rank rank = request.request.rank;
-    const Duration wait = predictedWait(rank, request.request.organisation, request.weight);
+    const Duration wait = predictedWait(rank, request.request.organisation, request.weight, request.estimate);
     m_requests.emplace(id, std::move(owned));
     if (now() + wait > request.startBy) {
         finishNotRun(request, Reason::DeadlineUnreachable, Admission::retryAfter(wait, m_random));
@@ -363,7 +363,8 @@
 
 Duration SchedulerBase::retryAfter(Rank rank)
 {
-    return Admission::retryAfter(m_admission->wait(rank, m_queue.costAhead(rank, OrganisationId(), 1.0)), m_random);
+    return Admission::retryAfter(
+        m_admission->wait(rank, m_queue.costAhead(rank, OrganisationId(), 1.0, 1.0)), m_random);
 }
 
 std::optional<Duration> SchedulerBase::shortRetryAfter() { return Admission::retryAfter(shortRetry, m_random); }
@@ -384,8 +385,12 @@
 {
     GroupLoad load;
     load.group = m_group;
+    // The whole backlog, not what fair queueing puts ahead of a new organisation: groups are to be kept equally full.
+    const Duration untilRoom = fromSeconds(secondsUntilRoom());
     for (Rank rank : allRanks)
-        load.wait[rank] = predictedWait(rank, OrganisationId(), 1.0);
+        load.wait[rank] = m_queue.size(rank) == 0 && rank == Rank::Urgent && canPreempt()
+            ? Duration(0)
+            : untilRoom + m_admission->wait(rank, m_queue.backlog(rank));
     load.running = static_cast<std::uint32_t>(m_running.size());
     load.slots = m_fleet.slots(now());
     return load;
