--- a/packages/core/fuchsialb/src/Router/EntryTable.cpp
+++ b/packages/core/fuchsialb/src/Router/EntryTable.cpp
@@ -26,8 +26,8 @@
 } // namespace
 
 EntryTable::EntryTable(
-    HostId self, GroupChooser& chooser, const Membership& membership, const Clock& clock, Random& random)
-    : m_self(std::move(self))
+    RouterFault fault, GroupChooser& chooser, const Membership& membership, const Clock& clock, Random& random)
+    : m_fault(fault)
     , m_chooser(chooser)
     , m_membership(membership)
     , m_clock(clock)
@@ -161,13 +161,20 @@
     return wait + Duration(static_cast<std::int64_t>(m_random.below(static_cast<std::uint64_t>(wait.count() / 4 + 1))));
 }
 
+bool EntryTable::mayHaveRun(const Entry& entry) const
+{
+    return std::any_of(entry.submissions.begin(), entry.submissions.end(), [&](const Submission& submission) {
+        if (m_fault == RouterFault::ForgetLostSubmission && submission.state == SubmissionState::Lost)
+            return false;
+        return submission.state != SubmissionState::NotRun;
+    });
+}
+
 void EntryTable::giveUp(Entries::iterator it, Reason reason, std::string_view detail)
 {
     Entry& entry = it->second;
-    const auto mayHaveRun = [](const Submission& submission) { return submission.state != SubmissionState::NotRun; };
     Result result;
-    result.outcome = std::any_of(entry.submissions.begin(), entry.submissions.end(), mayHaveRun) ? Outcome::Unknown
-                                                                                                 : Outcome::NotRun;
+    result.outcome = mayHaveRun(entry) ? Outcome::Unknown : Outcome::NotRun;
     result.reason = reason;
     result.detail = std::string(detail);
     result.generatedTokens = static_cast<std::uint32_t>(entry.delivered.size());
@@ -237,17 +244,20 @@
     if (!find(it, from, message.submission))
         return;
     Entry& entry = it->second;
-    if (message.submission != entry.submissions.size()) {
+    const bool old = message.submission != entry.submissions.size();
+    if (old && m_fault != RouterFault::AcceptOldSubmission) {
         ++m_staleEvents;
         return;
     }
     entry.accepted = true;
-    if (message.position > entry.delivered.size()) {
+    if (message.position > entry.delivered.size() && m_fault != RouterFault::IgnoreGap) {
         // A message was lost; the scheduler sends again from the first missing token.
         inquire(it->first, entry);
         return;
     }
-    for (std::size_t i = entry.delivered.size() - message.position; i < message.tokens.size(); ++i) {
+    const std::size_t known
+        = entry.delivered.size() > message.position && !old ? entry.delivered.size() - message.position : 0;
+    for (std::size_t i = known; i < message.tokens.size(); ++i) {
         const auto position = static_cast<std::uint32_t>(entry.delivered.size());
         entry.delivered.push_back(message.tokens[i]);
         m_actions.push_back(DeliverToken { it->first, position, message.tokens[i] });
@@ -281,8 +291,7 @@
     if (!current)
         return;
     Result result = message.result;
-    const auto mayHaveRun = [](const Submission& other) { return other.state != SubmissionState::NotRun; };
-    if (std::any_of(entry.submissions.begin(), entry.submissions.end(), mayHaveRun))
+    if (mayHaveRun(entry))
         result.outcome = Outcome::Unknown;
     result.generatedTokens = static_cast<std::uint32_t>(entry.delivered.size());
     finish(it, std::move(result));
--- a/packages/core/fuchsialb/src/Router/EntryTable.h
+++ b/packages/core/fuchsialb/src/Router/EntryTable.h
@@ -6,6 +6,7 @@
 #include "Action.h"
 #include "GroupChooser.h"
 #include "Message.h"
+#include "RouterFault.h"
 
 #include <map>
 #include <memory>
@@ -30,7 +31,8 @@
 /// one submission can obtain its claim.
 class EntryTable {
 public:
-    EntryTable(HostId self, GroupChooser& chooser, const Membership& membership, const Clock& clock, Random& random);
+    EntryTable(
+        RouterFault fault, GroupChooser& chooser, const Membership& membership, const Clock& clock, Random& random);
 
     void configure(std::shared_ptr<const Configuration> configuration) { m_configuration = std::move(configuration); }
     /// Refuses requests that arrive from now on.
@@ -98,9 +100,10 @@
     /// \return The submission that a message belongs to, or null when it is stale.
     Submission* find(Entries::iterator it, const HostId& from, std::uint32_t submission);
     void tickEntry(Entries::iterator it, TimePoint now);
+    bool mayHaveRun(const Entry& entry) const;
     Duration retryAfter(const Request& request);
 
-    HostId m_self;
+    RouterFault m_fault;
     GroupChooser& m_chooser;
     const Membership& m_membership;
     const Clock& m_clock;
--- a/packages/core/fuchsialb/src/Router/Router.cpp
+++ b/packages/core/fuchsialb/src/Router/Router.cpp
@@ -35,8 +35,9 @@
     router->m_membership = std::move(*membership);
     router->m_spread = std::move(*spread);
     router->m_entries = std::make_unique<internal::EntryTable>(
-        router->m_options.self, router->m_chooser, *router->m_membership, clock, random);
-    router->m_schedulers = std::make_unique<internal::SchedulerTable>(router->m_options.claims, clock, random);
+        router->m_options.fault, router->m_chooser, *router->m_membership, clock, random);
+    router->m_schedulers
+        = std::make_unique<internal::SchedulerTable>(router->m_options.claims, router->m_options.fault, clock, random);
     router->followMembers();
     return router;
 }
--- a/packages/core/fuchsialb/src/Router/Router.h
+++ b/packages/core/fuchsialb/src/Router/Router.h
@@ -8,6 +8,7 @@
 #include "Action.h"
 #include "EntryTable.h"
 #include "Event.h"
+#include "RouterFault.h"
 #include "SchedulerTable.h"
 #include "StoreRouter.h"
 
@@ -34,6 +35,8 @@
     Duration drainGrace { std::chrono::seconds(2) };
     /// Other daemons may still send work for this long after a drain began.
     Duration leaveSpread { std::chrono::seconds(3) };
+    /// For tests only.
+    RouterFault fault = RouterFault::None;
     /// The loads of own groups are advertised this often.
     Duration loadPeriod { std::chrono::seconds(1) };
 };
--- a/packages/core/fuchsialb/src/Router/SchedulerTable.cpp
+++ b/packages/core/fuchsialb/src/Router/SchedulerTable.cpp
@@ -14,8 +14,9 @@
 
 } // namespace
 
-SchedulerTable::SchedulerTable(ClaimOptions claims, const Clock& clock, Random& random)
+SchedulerTable::SchedulerTable(ClaimOptions claims, RouterFault fault, const Clock& clock, Random& random)
     : m_claimOptions(std::move(claims))
+    , m_fault(fault)
     , m_clock(clock)
     , m_random(random)
 {
@@ -229,8 +230,9 @@
 
 void SchedulerTable::onServiceFailed(const ServiceFailed& event)
 {
+    const FailureProof proof = m_fault == RouterFault::TrustEveryFailure ? FailureProof::NotStarted : event.proof;
     if (GroupScheduler* scheduler = schedulerOf(event.request))
-        scheduler->onServiceFailed(event.request, event.attempt, event.proof, event.reason);
+        scheduler->onServiceFailed(event.request, event.attempt, proof, event.reason);
 }
 
 void SchedulerTable::onLoadReport(const LoadReport& report)
@@ -344,6 +346,10 @@
     Entry* entry = latest(effect.request);
     assert(entry);
     const Request& request = entry->request;
+    if (m_fault == RouterFault::SkipClaim) {
+        entry->group->scheduler->onClaim(effect.request, effect.attempt, { ClaimVerdict::Granted, 0 });
+        return;
+    }
     ClaimLog* log = claimLog(request.target);
     if (!log) {
         entry->group->scheduler->onClaim(effect.request, effect.attempt, { ClaimVerdict::Unavailable, 0 });
@@ -360,6 +366,8 @@
     if (node.empty())
         return;
     const auto& [target, key] = node.mapped();
+    if (m_fault == RouterFault::ReleaseUnknown && effect.outcome == Outcome::Unknown)
+        effect.outcome = Outcome::NotRun;
     if (ClaimLog* log = claimLog(target))
         log->settle(effect.attempt, key, effect.outcome, effect.httpStatus);
 }
--- a/packages/core/fuchsialb/src/Router/SchedulerTable.h
+++ b/packages/core/fuchsialb/src/Router/SchedulerTable.h
@@ -7,6 +7,7 @@
 #include "Action.h"
 #include "Event.h"
 #include "Message.h"
+#include "RouterFault.h"
 
 #include <map>
 #include <memory>
@@ -28,7 +29,7 @@
 /// Answers are kept for a while after the end of a request, so that an entry daemon that lost a message can ask again.
 class SchedulerTable {
 public:
-    SchedulerTable(ClaimOptions claims, const Clock& clock, Random& random);
+    SchedulerTable(ClaimOptions claims, RouterFault fault, const Clock& clock, Random& random);
 
     /// Takes a configuration in force; schedulers of groups that left it are stopped.
     void configure(std::shared_ptr<const Configuration> configuration);
@@ -106,6 +107,7 @@
     template <typename T> void apply(T effect) { m_actions.push_back(std::move(effect)); }
 
     ClaimOptions m_claimOptions;
+    RouterFault m_fault;
     const Clock& m_clock;
     Random& m_random;
     std::shared_ptr<const Configuration> m_configuration;
