--- a/packages/core/fuchsialb/src/Control/ConfigurationSpread.h
+++ b/packages/core/fuchsialb/src/Control/ConfigurationSpread.h
@@ -87,8 +87,9 @@
     Duration watchWait { std::chrono::seconds(1) };
     /// Time beyond the wait after which a store operation is given up.
     Duration operationTimeout { std::chrono::milliseconds(500) };
-    /// A watch never fires when the store was restored to an older version, so the head is also read at this interval.
-    Duration readPeriod { std::chrono::seconds(10) };
+    /// A watch doesn't fire while a store that was restored to older data is below the last version seen, so the head
+    /// is also read at this interval.
+    Duration readPeriod { std::chrono::seconds(2) };
     Duration takeOverAfter { std::chrono::seconds(3) };
     Bytes chunk { 64 * 1024 };
     Duration pullTimeout { std::chrono::milliseconds(500) };
--- a/packages/core/fuchsialb/src/Control/SpreadCore.cpp
+++ b/packages/core/fuchsialb/src/Control/SpreadCore.cpp
@@ -120,9 +120,9 @@
         }
         const ConfigurationHead* head = m_watch.head();
         // A version below the newest of the peers is taken only as the first one, when the peers haven't delivered.
-        const bool stillEmpty = m_holder.number() == ConfigurationVersion() && now - m_started >= firstVersionPatience;
-        const bool wanted
-            = head && m_holder.mayReplace(head->version) && (head->version >= m_pull.newest() || stillEmpty);
+        const bool waitsForPeers = head && head->version < m_pull.newest()
+            && m_holder.number() == ConfigurationVersion() && now - m_started < firstVersionPatience;
+        const bool wanted = head && m_holder.mayReplace(head->version) && !waitsForPeers;
         if (m_watching && wanted && !m_fetch.active() && now >= m_fetchNotBefore)
             m_fetch.start(*head);
         if (m_fetch.complete())
--- a/packages/core/fuchsialb/src/Control/WatchDuty.cpp
+++ b/packages/core/fuchsialb/src/Control/WatchDuty.cpp
@@ -28,12 +28,17 @@
 
 void WatchDuty::setMembers(const std::vector<Member>& members)
 {
-    std::vector<HostId> hosts;
+    std::vector<HostId> staying;
+    std::vector<HostId> leaving;
     for (const Member& member : members) {
-        if (member.dataCentre == m_dataCentre && member.state != MemberState::Leaving)
-            hosts.push_back(member.host);
+        if (member.dataCentre == m_dataCentre)
+            (member.state == MemberState::Leaving ? leaving : staying).push_back(member.host);
     }
-    m_order = rendezvous(watchWord, hosts, m_watchers + m_extraWatchers);
+    // A leaving host may have the only path to the store, so it comes last but still may take over.
+    const std::size_t candidates = m_watchers + m_extraWatchers;
+    m_order = rendezvous(watchWord, staying, candidates);
+    for (HostId& host : rendezvous(watchWord, leaving, candidates - m_order.size()))
+        m_order.push_back(std::move(host));
     const auto position = std::find(m_order.begin(), m_order.end(), m_self);
     m_listed = position != m_order.end();
     m_order.erase(position, m_order.end());
--- a/packages/core/fuchsialb/src/Control/WatchDuty.h
+++ b/packages/core/fuchsialb/src/Control/WatchDuty.h
@@ -27,7 +27,7 @@
     std::uint32_t m_extraWatchers;
     Duration m_takeOverAfter;
     bool m_mayTakeOver;
-    /// Members by rendezvous up to this host; empty when it is too far behind or leaving.
+    /// Members by rendezvous up to this host; empty when it is too far behind.
     std::vector<HostId> m_order;
     bool m_listed = false;
     /// Latest news by a member before this host.
