Claim idempotency keys in batches by compare-and-swap

Change: ClaimLog spreads claims over shards. A segment is sealed in the write that fills it. A segment is dropped its retention plus twice the largest clock error after the time on its seal.

--- a/packages/core/fuchsialb/src/Claims/ClaimLog.h
+++ b/packages/core/fuchsialb/src/Claims/ClaimLog.h
@@ -9,6 +9,7 @@
 #include <absl/status/statusor.h>
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <variant>
@@ -76,16 +77,28 @@
     /// A segment is sealed when it reaches this size; the store takes values of up to 1 MB.
     Bytes maxSegment { 900'000 };
     Duration maxSegmentAge { std::chrono::minutes(15) };
+    /// Shortest time that a claim is remembered; see `maxClockError`.
     Duration retention { std::chrono::hours(24) };
+    /// Largest difference between any daemon's wall clock and true time. A segment is dropped `retention` plus twice
+    /// this value after the time stamped on its seal, so that no claim is dropped before `retention` has passed.
+    Duration maxClockError { std::chrono::minutes(5) };
+    /// Wall time in seconds since the Unix epoch, for the age of segments; required.
+    std::function<std::int64_t()> unixSeconds;
 };
 
 /// \brief Claims idempotency keys of one target in the platform's store, in batches, by compare-and-swap alone.
 ///
 /// Sans I/O: store operations come out of `takeOperations`, answers go into `onAnswer`, results come out of
-/// `takeAnswered`. At most one write for each shard is in flight. See docs/design.md, section 6.
+/// `takeAnswered`. At most one operation for each shard is in flight. See docs/design.md, section 6.
+///
+/// A shard is the chain `claims/<target>/<shard>/1`, `2`, ...; the newest record of a key in the chain is its state.
+/// A segment's successor is created, at expected version 0, only after the segment was sealed. The first segment that
+/// is not sealed is therefore the end of the chain. `claims/<target>/<shard>/head` names the oldest segment within
+/// retention; an old or missing head makes a new writer read more segments, nothing else.
 class ClaimLog {
 public:
     /// \param shards Number of shards, at least 1; must be the same on every daemon.
+    /// \return `InvalidInput` when an option is out of range or `unixSeconds` is not set.
     static absl::StatusOr<std::unique_ptr<ClaimLog>> create(
         TargetId target, std::uint32_t shards, ClaimOptions options, const Clock& clock);
 
