--- a/packages/core/fuchsialb/src/Sched/ModelRecovery.cpp
+++ b/packages/core/fuchsialb/src/Sched/ModelRecovery.cpp
@@ -10,8 +10,6 @@
 
     /// A request that loses this many stages is given up: no realistic sequence of independent failures gets there.
     constexpr std::uint32_t mostRecoveries = 8;
-    /// Time to wait for a runner when the caller states no deadline and the rules bound no wait.
-    constexpr Duration defaultPatience = std::chrono::seconds(30);
 
     bool contains(const std::vector<RouteStage>& stages, const EndpointId& id)
     {
@@ -227,10 +225,7 @@
     cancelStages(request, kept);
     release(kept);
     request.run.route.clear();
-    const Duration wait = rule(request.request.rank).maxQueueWait;
-    const Duration patience = wait > Duration(0) ? wait : defaultPatience;
-    request.startBy
-        = request.deadline > now() && request.deadline != TimePoint::max() ? request.deadline : now() + patience;
+    request.startBy = resumeBy(request);
     requeue(request);
     decide(request, Reason::NoRoute, fmt::format("position={}", request.run.generated.size()));
 }
--- a/packages/core/fuchsialb/src/Sched/ModelScheduler.cpp
+++ b/packages/core/fuchsialb/src/Sched/ModelScheduler.cpp
@@ -16,6 +16,9 @@
     constexpr Duration leastSilence = std::chrono::milliseconds(1500);
     /// Predicted times are means: a run counts as silent only after a multiple of them.
     constexpr double silenceFactor = 4.0;
+    constexpr Duration preemptionMargin = std::chrono::seconds(5);
+    /// Time to wait for a slot or a runner when the caller states no deadline and the rules bound no wait.
+    constexpr Duration defaultPatience = std::chrono::seconds(30);
 
     std::string describe(const std::vector<RouteStage>& route)
     {
@@ -46,6 +49,7 @@
 {
     if (const auto found = configuration.targets.find(target()); found != configuration.targets.end())
         m_planner.setTarget(found->second);
+    m_index.keepOnly([this](const EndpointId& id) { return fleet().find(id) != nullptr; });
     double prompt = 0;
     double token = 0;
     for (const auto& [id, runner] : fleet().runners()) {
@@ -209,7 +213,8 @@
     RequestId id, AttemptId attempt, Epoch epoch, std::uint32_t position, std::string_view text)
 {
     ScheduledRequest* request = findRunning(id, attempt);
-    if (!request || !request->run.accepts(epoch, position)) {
+    const bool excess = request && request->request.maxTokens > 0 && position >= request->request.maxTokens;
+    if (!request || excess || !request->run.accepts(epoch, position)) {
         dropToken(id, epoch, position);
         return;
     }
@@ -276,8 +281,10 @@
         const ScheduledRequest* youngest = nullptr;
         for (const RequestId& id : running()) {
             const ScheduledRequest& each = at(id);
-            // Non-idempotent streams are left alone: one that can't be resumed would end "outcome unknown".
-            const bool eligible = each.request.rank == rank && each.request.idempotent && !each.run.moving;
+            // Left alone: non-idempotent streams, because one that can't be resumed would end "outcome unknown", and
+            // streams that may not be resumed before their deadline.
+            const bool resumable = each.deadline <= now() || each.deadline - now() > preemptionMargin;
+            const bool eligible = each.request.rank == rank && each.request.idempotent && resumable && !each.run.moving;
             if (eligible && (!youngest || each.startedAt > youngest->startedAt))
                 youngest = &each;
         }
@@ -287,6 +294,14 @@
     return std::nullopt;
 }
 
+TimePoint ModelScheduler::resumeBy(const ScheduledRequest& request) const
+{
+    if (request.deadline > now() && request.deadline != TimePoint::max())
+        return request.deadline;
+    const Duration wait = rule(request.request.rank).maxQueueWait;
+    return now() + (wait > Duration(0) ? wait : defaultPatience);
+}
+
 void ModelScheduler::preempt()
 {
     const auto victim = preemptionVictim();
@@ -296,9 +311,7 @@
     decide(request, Reason::Preempted, fmt::format("resume_from={}", request.run.generated.size()));
     abandonRunning(request);
     request.mayHaveRun = true;
-    const Duration patience = rule(request.request.rank).maxQueueWait;
-    if (request.deadline == TimePoint::max())
-        request.startBy = patience > Duration(0) ? now() + patience : TimePoint::max();
+    request.startBy = resumeBy(request);
     requeue(request);
 }
 
--- a/packages/core/fuchsialb/src/Sched/ModelScheduler.h
+++ b/packages/core/fuchsialb/src/Sched/ModelScheduler.h
@@ -51,6 +51,9 @@
     void startRun(ScheduledRequest& request);
     void setSilenceBounds(ScheduledRequest& request, const PlannedRoute& route) const;
     void complete(ScheduledRequest& request, std::string_view finishReason);
+    /// \return Until when a request that was interrupted waits to be resumed: its deadline, and when that is past or
+    /// not stated the longest queue wait of its rank.
+    TimePoint resumeBy(const ScheduledRequest& request) const;
     void dropToken(RequestId request, Epoch epoch, std::uint32_t position);
 
     void suspend(const EndpointId& endpoint);
--- a/packages/core/fuchsialb/src/Sched/PrefixIndex.h
+++ b/packages/core/fuchsialb/src/Sched/PrefixIndex.h
@@ -36,6 +36,11 @@
     void onDispatched(const EndpointId& endpoint, const std::vector<Prefix>& prefixes);
     /// Forgets a runner, for example after it failed.
     void forget(const EndpointId& endpoint) { m_caches.erase(endpoint); }
+    /// Forgets all runners for which `known` is false.
+    template <typename Known> void keepOnly(Known known)
+    {
+        std::erase_if(m_caches, [&known](const auto& each) { return !known(each.first); });
+    }
 
     /// \return Bytes of the longest prefix that the runner is likely to hold.
     std::size_t heldBytes(const EndpointId& endpoint, const std::vector<Prefix>& prefixes) const;
--- a/packages/core/fuchsialb/src/Sched/RecoveryPlanner.cpp
+++ b/packages/core/fuchsialb/src/Sched/RecoveryPlanner.cpp
@@ -86,7 +86,7 @@
 std::vector<RecoveryOption> RecoveryPlanner::options(const RecoveryDemand& demand) const
 {
     std::vector<RecoveryOption> options;
-    if (demand.missing.size() == 1 && demand.route.size() > 1) {
+    if (demand.missing.size() == 1) {
         addImports(demand, options);
         addReplay(demand, options);
     }
--- a/packages/core/fuchsialb/src/Sched/RunnerFleet.cpp
+++ b/packages/core/fuchsialb/src/Sched/RunnerFleet.cpp
@@ -70,16 +70,12 @@
     }
 }
 
-std::vector<EndpointId> RunnerFleet::tick(TimePoint now)
+void RunnerFleet::tick(TimePoint now)
 {
     judgeSlowness(now);
-    std::vector<EndpointId> returned;
-    for (auto& [id, runner] : m_runners) {
-        if (runner.refresh(now))
-            returned.push_back(id);
-    }
+    for (auto& [id, runner] : m_runners)
+        runner.refresh(now);
     std::erase_if(m_runners, [](const auto& each) { return each.second.removed() && each.second.inProgress() == 0; });
-    return returned;
 }
 
 template <typename Limit> std::uint32_t RunnerFleet::narrowest(Limit limit) const
--- a/packages/core/fuchsialb/src/Sched/RunnerFleet.h
+++ b/packages/core/fuchsialb/src/Sched/RunnerFleet.h
@@ -23,8 +23,7 @@
     const RunnerModel* find(const EndpointId& id) const;
 
     /// Detects slow endpoints, ends suspensions and forgets removed endpoints without work.
-    /// \return Endpoints that returned to service.
-    std::vector<EndpointId> tick(TimePoint now);
+    void tick(TimePoint now);
 
     /// \return Sequences that the group can run at once by the limits of now: the narrowest layer decides.
     std::uint32_t slots(TimePoint now) const;
--- a/packages/core/fuchsialb/src/Sched/RunnerModel.cpp
+++ b/packages/core/fuchsialb/src/Sched/RunnerModel.cpp
@@ -127,17 +127,16 @@
     m_failures = std::min(m_failures + 1, mostSuspensionDoublings + 1);
 }
 
-bool RunnerModel::refresh(TimePoint now)
+void RunnerModel::refresh(TimePoint now)
 {
     const Duration suspension = firstSuspension * (1U << (m_failures > 0 ? m_failures - 1 : 0));
     if (!m_suspended || now - m_failedAt < suspension)
-        return false;
+        return;
     const bool reports = m_reportedAt.has_value();
     if (reports && *m_reportedAt <= m_failedAt && now - m_failedAt < longestSilentSuspension)
-        return false;
+        return;
     m_suspended = false;
     m_returnedAt = now;
-    return true;
 }
 
 } // namespace fuchsialb
--- a/packages/core/fuchsialb/src/Sched/RunnerModel.h
+++ b/packages/core/fuchsialb/src/Sched/RunnerModel.h
@@ -53,8 +53,7 @@
     void onFailure(TimePoint now);
     void onSuccess() { m_failures = 0; }
     /// Ends a suspension when its time is over and the endpoint has reported again.
-    /// \return Whether the endpoint returned to service.
-    bool refresh(TimePoint now);
+    void refresh(TimePoint now);
 
 private:
     Endpoint m_endpoint;
--- a/packages/core/fuchsialb/src/Sched/SchedulerBase.cpp
+++ b/packages/core/fuchsialb/src/Sched/SchedulerBase.cpp
@@ -16,6 +16,8 @@
     /// Time to come back when no backlog can be computed, for example while the store is unavailable.
     constexpr Duration shortRetry = std::chrono::seconds(1);
     constexpr std::uint32_t mostRetries = 2;
+    /// Assumed time until a runner returns while the group can serve nothing: two of the shortest suspensions.
+    constexpr double outageSeconds = 0.5;
     constexpr std::uint32_t statusInProgress = 409;
     constexpr std::uint32_t statusKeyReused = 422;
 
@@ -139,7 +141,11 @@
 
 double SchedulerBase::secondsUntilRoom() const
 {
-    if (hasRoom() || m_running.empty())
+    if (hasRoom())
+        return 0;
+    if (m_fleet.slots(now()) == 0)
+        return outageSeconds;
+    if (m_running.empty())
         return 0;
     double least = 1e6;
     for (const RequestId& id : m_running)
@@ -180,7 +186,8 @@
     const Duration wait = predictedWait(rank, request.request.organisation, request.weight, request.estimate);
     m_requests.emplace(id, std::move(owned));
     if (now() + wait > request.startBy) {
-        finishNotRun(request, Reason::DeadlineUnreachable, Admission::retryAfter(wait, m_random));
+        const Reason reason = m_fleet.slots(now()) == 0 ? Reason::NoRoute : Reason::DeadlineUnreachable;
+        finishNotRun(request, reason, Admission::retryAfter(wait, m_random));
         return;
     }
     if (!m_queue.push(queued(request))) {
--- a/packages/core/fuchsialb/src/Sched/SchedulerBase.h
+++ b/packages/core/fuchsialb/src/Sched/SchedulerBase.h
@@ -60,7 +60,6 @@
     virtual void tickRunning(ScheduledRequest& request) = 0;
     /// Takes the target and the endpoints of a new configuration; `fleet` has them already.
     virtual void onConfigured(const Configuration&) { }
-    virtual void onRunnerReturned(const EndpointId&) { }
 
     TimePoint now() const { return m_clock.now(); }
     ScheduledRequest* find(RequestId request);
--- a/packages/core/fuchsialb/src/Sched/SchedulerDispatch.cpp
+++ b/packages/core/fuchsialb/src/Sched/SchedulerDispatch.cpp
@@ -154,8 +154,7 @@
 
 void SchedulerBase::tick()
 {
-    for (const EndpointId& id : m_fleet.tick(now()))
-        onRunnerReturned(id);
+    m_fleet.tick(now());
     followSlots();
     RankTable<bool> backlogged;
     for (Rank rank : allRanks)
--- a/packages/core/tests/SchedRecoveryTest.cpp
+++ b/packages/core/tests/SchedRecoveryTest.cpp
@@ -301,3 +301,25 @@
     CHECK(driver.result(3).outcome == Outcome::Completed);
     CHECK(driver.faults.empty());
 }
+
+// Guards against a preemption that ends a stream whose deadline for the first token is long past.
+TEST_CASE("A preempted stream is resumed after its deadline, one close to it is not preempted")
+{
+    SchedDriver driver(schedModel(1, 1));
+    Request request = schedRequest(1, Rank::Summary, 80);
+    request.timeLeft = 2s;
+    Configuration configuration = schedModel(1, 1);
+    configuration.ranks[Rank::Summary].share = 0;
+    driver.scheduler->configure(configuration);
+    driver.submit(request);
+    driver.advance(1s);
+    driver.submit(schedRequest(2, Rank::Urgent, 5));
+    CHECK(driver.all<CancelRun>().empty());
+    driver.advance(1500ms);
+    driver.submit(schedRequest(3, Rank::Urgent, 5));
+    CHECK(driver.all<CancelRun>().size() == 1);
+    driver.advance(10s);
+    CHECK(driver.delivered[request.id] == whole(80));
+    CHECK(driver.result(1).outcome == Outcome::Completed);
+    CHECK(driver.faults.empty());
+}
