--- a/packages/core/fuchsialb/src/Config/RulesParser.cpp
+++ b/packages/core/fuchsialb/src/Config/RulesParser.cpp
@@ -1,10 +1,10 @@
 #include "RulesParser.h"
 
 #include "UnitText.h"
+#include "YamlNode.h"
 
 #include <absl/strings/numbers.h>
 #include <fmt/format.h>
-#include <yaml-cpp/yaml.h>
 
 #include <algorithm>
 #include <cmath>
@@ -16,24 +16,19 @@
 
 namespace {
 
+    using internal::YamlNode;
+
     constexpr std::string_view idRule = "1 to 64 letters, digits, '.', '_' or '-', beginning with a letter or a digit";
     constexpr std::string_view durationRule = "a duration such as 90us, 720ms or 2s";
 
-    SourcePosition positionOf(const YAML::Mark& mark)
-    {
-        if (mark.is_null())
-            return {};
-        return { static_cast<std::uint32_t>(mark.line) + 1, static_cast<std::uint32_t>(mark.column) + 1 };
-    }
-
     /// \return What a node is, for an error.
-    std::string read(const YAML::Node& node)
+    std::string read(const YamlNode& node)
     {
-        if (node.IsScalar())
-            return node.Scalar();
-        if (node.IsMap())
+        if (node.isScalar())
+            return node.scalar;
+        if (node.isMap())
             return "a mapping";
-        return node.IsSequence() ? "a list" : "nothing";
+        return node.kind == YamlNode::Kind::Sequence ? "a list" : "nothing";
     }
 
     /// Reads the document and collects every mistake.
@@ -47,29 +42,29 @@
                 m_rules.values.ranks[rank] = defaultRankRule(rank);
         }
 
-        void document(const YAML::Node& root)
+        void document(const YamlNode& root)
         {
             Configuration& values = m_rules.values;
             Keys keys;
-            keys["targets"] = [&](const YAML::Node& node) {
+            keys["targets"] = [&](const YamlNode& node) {
                 entries(node, EntryKind::Target, values.targets, [this](auto&... a) { target(a...); });
             };
-            keys["accelerators"] = [&](const YAML::Node& node) {
+            keys["accelerators"] = [&](const YamlNode& node) {
                 entries(node, EntryKind::AcceleratorKind, values.acceleratorKinds,
                     [this](auto&... a) { accelerator(a...); });
             };
-            keys["links"] = [&](const YAML::Node& node) {
+            keys["links"] = [&](const YamlNode& node) {
                 entries(node, EntryKind::LinkClass, values.linkClasses, [this](auto&... a) { link(a...); });
             };
-            keys["organisations"] = [&](const YAML::Node& node) {
+            keys["organisations"] = [&](const YamlNode& node) {
                 entries(
                     node, EntryKind::Organisation, values.organisations, [this](auto&... a) { organisation(a...); });
             };
-            keys["ranks"] = [this](const YAML::Node& node) { ranks(node); };
-            keys["default_rank"] = [&](const YAML::Node& node) { rankValue(node, values.defaultRank); };
+            keys["ranks"] = [this](const YamlNode& node) { ranks(node); };
+            keys["default_rank"] = [&](const YamlNode& node) { rankValue(node, values.defaultRank); };
             keys["serve_unlisted_organisations"]
-                = [&](const YAML::Node& node) { boolean(node, values.serveUnlistedOrganisations); };
-            keys["claim_retention"] = [&](const YAML::Node& node) { retention(node, values.claimRetention); };
+                = [&](const YamlNode& node) { boolean(node, values.serveUnlistedOrganisations); };
+            keys["claim_retention"] = [&](const YamlNode& node) { retention(node, values.claimRetention); };
             mapping(root, EntryKind::General, "", keys, { "targets" });
         }
 
@@ -86,11 +81,14 @@
         }
 
     private:
-        using Keys = std::map<std::string, std::function<void(const YAML::Node&)>>;
+        using Keys = std::map<std::string, std::function<void(const YamlNode&)>>;
 
-        void reject(const YAML::Node& node, std::string_view accepted)
+        void reject(const YamlNode& node, std::string_view accepted) { m_errors.add(node.at, read(node), accepted); }
+
+        template <typename Function> static void forEachEntry(const YamlNode& map, Function function)
         {
-            m_errors.add(positionOf(node.Mark()), read(node), accepted);
+            for (std::size_t i = 0; i + 1 < map.children.size(); i += 2)
+                function(map.children[i], map.children[i + 1]);
         }
 
         static std::string names(const Keys& keys)
@@ -102,84 +100,73 @@
         }
 
         /// Passes each key's value to its function; rejects unknown, repeated and missing keys.
-        void mapping(const YAML::Node& node, EntryKind kind, const std::string& id, const Keys& keys,
+        void mapping(const YamlNode& node, EntryKind kind, const std::string& id, const Keys& keys,
             const std::vector<std::string>& required)
         {
-            if (!node.IsMap()) {
+            if (!node.isMap()) {
                 reject(node, "a mapping");
                 return;
             }
             std::set<std::string> seen;
-            for (const auto& item : node) {
-                const std::string key = item.first.IsScalar() ? item.first.Scalar() : std::string();
-                const auto function = keys.find(key);
-                if (function == keys.end()) {
-                    reject(item.first, names(keys));
-                    continue;
-                }
-                if (!seen.insert(key).second) {
-                    reject(item.first, "a key once");
-                    continue;
-                }
-                m_rules.positions[{ kind, id, key }] = positionOf(item.second.Mark());
-                function->second(item.second);
-            }
+            forEachEntry(node, [&](const YamlNode& key, const YamlNode& value) {
+                const auto function = keys.find(key.scalar);
+                if (!key.isScalar() || function == keys.end())
+                    return reject(key, names(keys));
+                if (!seen.insert(key.scalar).second)
+                    return reject(key, "a key once");
+                m_rules.positions[{ kind, id, key.scalar }] = value.at;
+                function->second(value);
+            });
             for (const std::string& key : required) {
                 if (!seen.contains(key))
-                    m_errors.add(positionOf(node.Mark()), fmt::format("a mapping without {}", key),
-                        fmt::format("a key {}", key));
+                    m_errors.add(node.at, fmt::format("a mapping without {}", key), fmt::format("a key {}", key));
             }
         }
 
         /// Reads a section whose keys are ids.
         template <typename Id, typename Entry, typename Function>
-        void entries(const YAML::Node& section, EntryKind kind, std::map<Id, Entry>& known, Function function)
+        void entries(const YamlNode& section, EntryKind kind, std::map<Id, Entry>& known, Function function)
         {
-            if (!section.IsMap()) {
+            if (!section.isMap()) {
                 reject(section, "a mapping");
                 return;
             }
-            for (const auto& item : section) {
-                const std::string id = item.first.IsScalar() ? item.first.Scalar() : std::string();
-                if (!validId(id)) {
-                    reject(item.first, idRule);
-                    continue;
-                }
-                const auto [entry, added] = known.emplace(Id(id), Entry());
-                if (!added) {
-                    reject(item.first, "an id once");
-                    continue;
-                }
-                m_rules.positions[{ kind, id, "" }] = positionOf(item.first.Mark());
-                entry->second.id = Id(id);
-                function(item.second, entry->second);
-            }
+            forEachEntry(section, [&](const YamlNode& key, const YamlNode& value) {
+                if (!validId(key.scalar))
+                    return reject(key, idRule);
+                const auto [entry, added] = known.emplace(Id(key.scalar), Entry());
+                if (!added)
+                    return reject(key, "an id once");
+                m_rules.positions[{ kind, key.scalar, "" }] = key.at;
+                entry->second.id = Id(key.scalar);
+                function(value, entry->second);
+            });
         }
 
-        void target(const YAML::Node& node, Target& target)
+        void target(const YamlNode& node, Target& target)
         {
             std::string kind;
-            if (node.IsMap()) {
-                for (const auto& item : node) {
-                    if (item.first.IsScalar() && item.first.Scalar() == "kind" && item.second.IsScalar())
-                        kind = item.second.Scalar();
-                }
+            if (node.isMap()) {
+                forEachEntry(node, [&](const YamlNode& key, const YamlNode& value) {
+                    if (key.scalar == "kind")
+                        kind = value.scalar;
+                });
             }
             target.kind = kind == "service" ? TargetKind::Service : TargetKind::Model;
             Keys keys;
-            keys["kind"] = [&](const YAML::Node& value) {
+            keys["kind"] = [&](const YamlNode& value) {
                 if (kind != "model" && kind != "service")
                     reject(value, "model or service");
             };
             std::vector<std::string> required { "kind" };
             if (kind != "service") {
-                keys["layers"] = [&](const YAML::Node& value) { count(value, limits::layers, target.layers); };
-                keys["hidden_state_bytes"] = [&](const YAML::Node& value) { size(value, target.hiddenState); };
+                keys["layers"] = [&](const YamlNode& value) { count(value, limits::layers, target.layers); };
+                keys["hidden_state_bytes"] = [&](const YamlNode& value) { size(value, target.hiddenState); };
             }
             if (kind != "model") {
-                keys["idempotent"] = [&](const YAML::Node& value) { boolean(value, target.idempotent); };
+                keys["idempotent"] = [&](const YamlNode& value) { boolean(value, target.idempotent); };
                 keys["claim_shards"]
-                    = [&](const YAML::Node& value) { count(value, limits::claimShards, target.claimShards); };
+                    = [&](const YamlNode& value) { count(value, limits::claimShards, target.claimShards); };
             }
             if (kind == "model")
                 required.emplace_back("layers");
@@ -191,23 +178,22 @@
             mapping(node, EntryKind::Target, target.id.value(), keys, required);
         }
 
-        void accelerator(const YAML::Node& node, AcceleratorKind& kind)
+        void accelerator(const YamlNode& node, AcceleratorKind& kind)
         {
             Keys keys;
-            keys["layer_base"] = [&](const YAML::Node& value) { duration(value, kind.layerBase); };
-            keys["layer_per_sequence"] = [&](const YAML::Node& value) { duration(value, kind.layerPerSequence); };
-            keys["layer_per_prompt_token"]
-                = [&](const YAML::Node& value) { duration(value, kind.layerPerPromptToken); };
+            keys["layer_base"] = [&](const YamlNode& value) { duration(value, kind.layerBase); };
+            keys["layer_per_sequence"] = [&](const YamlNode& value) { duration(value, kind.layerPerSequence); };
+            keys["layer_per_prompt_token"] = [&](const YamlNode& value) { duration(value, kind.layerPerPromptToken); };
             mapping(node, EntryKind::AcceleratorKind, kind.id.value(), keys,
                 { "layer_base", "layer_per_sequence", "layer_per_prompt_token" });
         }
 
-        void link(const YAML::Node& node, LinkClass& link)
+        void link(const YamlNode& node, LinkClass& link)
         {
             Keys keys;
-            keys["delay"] = [&](const YAML::Node& value) { duration(value, link.delay); };
-            keys["bandwidth"] = [&](const YAML::Node& value) {
-                const auto rate = value.IsScalar() ? rateFromText(value.Scalar()) : std::nullopt;
+            keys["delay"] = [&](const YamlNode& value) { duration(value, link.delay); };
+            keys["bandwidth"] = [&](const YamlNode& value) {
+                const auto rate = value.isScalar() ? rateFromText(value.scalar) : std::nullopt;
                 if (!rate || rate->value() < limits::minBandwidth || rate->value() > limits::maxBandwidth)
                     reject(value, "a rate from 1kB/s to 10000GB/s, such as 1.5Gbit/s");
                 link.bandwidth = rate.value_or(BytesPerSecond(0));
@@ -215,90 +201,90 @@
             mapping(node, EntryKind::LinkClass, link.id.value(), keys, { "delay", "bandwidth" });
         }
 
-        void organisation(const YAML::Node& node, Organisation& organisation)
+        void organisation(const YamlNode& node, Organisation& organisation)
         {
             Keys keys;
-            keys["weight"] = [&](const YAML::Node& value) {
+            keys["weight"] = [&](const YamlNode& value) {
                 number(value, limits::minWeight, limits::maxWeight, organisation.weight);
             };
             mapping(node, EntryKind::Organisation, organisation.id.value(), keys, { "weight" });
         }
 
-        void ranks(const YAML::Node& node)
+        void ranks(const YamlNode& node)
         {
             Keys keys;
             for (Rank rank : allRanks)
                 keys[std::string(rankName(rank))]
-                    = [this, rank](const YAML::Node& value) { rankRule(value, rank, m_rules.values.ranks[rank]); };
+                    = [this, rank](const YamlNode& value) { rankRule(value, rank, m_rules.values.ranks[rank]); };
             mapping(node, EntryKind::Rank, "", keys, {});
         }
 
-        void rankRule(const YAML::Node& node, Rank rank, RankRule& rule)
+        void rankRule(const YamlNode& node, Rank rank, RankRule& rule)
         {
-            m_rules.positions[{ EntryKind::Rank, std::string(rankName(rank)), "" }] = positionOf(node.Mark());
+            m_rules.positions[{ EntryKind::Rank, std::string(rankName(rank)), "" }] = node.at;
             Keys keys;
-            keys["share"] = [&](const YAML::Node& value) { number(value, 0, 1, rule.share); };
-            keys["first_token"] = [&](const YAML::Node& value) { duration(value, rule.firstTokenTarget); };
-            keys["between_tokens"] = [&](const YAML::Node& value) { duration(value, rule.betweenTokensTarget); };
-            keys["max_queue_wait"] = [&](const YAML::Node& value) { duration(value, rule.maxQueueWait); };
+            keys["share"] = [&](const YamlNode& value) { number(value, 0, 1, rule.share); };
+            keys["first_token"] = [&](const YamlNode& value) { duration(value, rule.firstTokenTarget); };
+            keys["between_tokens"] = [&](const YamlNode& value) { duration(value, rule.betweenTokensTarget); };
+            keys["max_queue_wait"] = [&](const YamlNode& value) { duration(value, rule.maxQueueWait); };
             mapping(node, EntryKind::Rank, std::string(rankName(rank)), keys, {});
         }
 
-        void rankValue(const YAML::Node& node, Rank& result)
+        void rankValue(const YamlNode& node, Rank& result)
         {
-            const auto rank = node.IsScalar() ? rankFromName(node.Scalar()) : std::nullopt;
+            const auto rank = node.isScalar() ? rankFromName(node.scalar) : std::nullopt;
             if (!rank)
                 reject(node, "urgent, recording or summary");
             result = rank.value_or(result);
         }
 
-        void boolean(const YAML::Node& node, bool& result)
+        void boolean(const YamlNode& node, bool& result)
         {
-            const std::string text = node.IsScalar() ? node.Scalar() : std::string();
+            const std::string text = node.isScalar() ? node.scalar : std::string();
             if (text != "yes" && text != "no" && text != "true" && text != "false")
                 reject(node, "yes or no");
             result = text == "yes" || text == "true";
         }
 
-        void count(const YAML::Node& node, std::uint32_t high, std::uint32_t& result)
+        void count(const YamlNode& node, std::uint32_t high, std::uint32_t& result)
         {
             std::uint32_t value = 0;
-            const bool digits = node.IsScalar() && node.Scalar().find_first_not_of("0123456789") == std::string::npos;
-            if (!digits || !absl::SimpleAtoi(node.Scalar(), &value) || value < 1 || value > high)
+            const bool digits = node.isScalar() && node.scalar.find_first_not_of("0123456789") == std::string::npos;
+            if (!digits || !absl::SimpleAtoi(node.scalar, &value) || value < 1 || value > high)
                 reject(node, fmt::format("1 to {}", high));
             result = value;
         }
 
-        void number(const YAML::Node& node, double low, double high, double& result)
+        void number(const YamlNode& node, double low, double high, double& result)
         {
             double value = 0;
-            const bool plain = node.IsScalar() && node.Scalar().find_first_not_of("0123456789.") == std::string::npos;
-            if (!plain || !absl::SimpleAtod(node.Scalar(), &value) || !(value >= low && value <= high))
+            const bool plain = node.isScalar() && node.scalar.find_first_not_of("0123456789.") == std::string::npos;
+            if (!plain || !absl::SimpleAtod(node.scalar, &value) || !(value >= low && value <= high))
                 reject(node, fmt::format("a number from {} to {}", low, high));
             result = value;
         }
 
-        void size(const YAML::Node& node, Bytes& result)
+        void size(const YamlNode& node, Bytes& result)
         {
-            const auto value = node.IsScalar() ? bytesFromText(node.Scalar()) : std::nullopt;
+            const auto value = node.isScalar() ? bytesFromText(node.scalar) : std::nullopt;
             if (!value || value->value() > limits::hiddenStateBytes)
                 reject(node, "a size of at most 64MiB, such as 8192 or 8KiB");
             result = value.value_or(Bytes(0));
         }
 
-        template <typename Unit> void duration(const YAML::Node& node, Unit& result)
+        template <typename Unit> void duration(const YamlNode& node, Unit& result)
         {
             constexpr bool microseconds = std::is_same_v<Unit, Duration>;
-            const auto value = node.IsScalar() ? durationFromText(node.Scalar()) : std::nullopt;
+            const auto value = node.isScalar() ? durationFromText(node.scalar) : std::nullopt;
             if (!value || *value > limits::duration || std::chrono::duration_cast<Unit>(*value) != *value)
                 reject(node, fmt::format("{}, in whole {} up to 24h", durationRule, microseconds ? "us" : "ns"));
             result = std::chrono::duration_cast<Unit>(value.value_or(std::chrono::nanoseconds(0)));
         }
 
-        void retention(const YAML::Node& node, std::chrono::hours& result)
+        void retention(const YamlNode& node, std::chrono::hours& result)
         {
             using std::chrono::hours;
-            const auto value = node.IsScalar() ? durationFromText(node.Scalar()) : std::nullopt;
+            const auto value = node.isScalar() ? durationFromText(node.scalar) : std::nullopt;
             if (!value || *value < hours(1) || *value > limits::claimRetention
                 || std::chrono::duration_cast<hours>(*value) != *value)
                 reject(node, fmt::format("whole hours from 1h to {}h", limits::claimRetention.count()));
@@ -319,14 +305,12 @@
             Reason::BodyTooLarge);
         return reader.finish();
     }
-    try {
-        const std::vector<YAML::Node> documents = YAML::LoadAll(std::string(text));
-        if (documents.size() == 1)
-            reader.document(documents.front());
-        else
-            reader.add({}, fmt::format("{} documents", documents.size()), "one YAML document", Reason::InvalidRules);
-    } catch (const YAML::Exception& exception) {
-        reader.add(positionOf(exception.mark), exception.msg, "YAML", Reason::InvalidRules);
+    const std::variant<YamlNode, internal::YamlFault> parsed = internal::parseYaml(text);
+    if (const auto* root = std::get_if<YamlNode>(&parsed)) {
+        reader.document(*root);
+    } else {
+        const auto& fault = std::get<internal::YamlFault>(parsed);
+        reader.add(fault.at, fault.read, fault.accepted, Reason::InvalidRules);
     }
     return reader.finish();
 }
--- a/packages/core/tests/ConfigInputErrorsTest.cpp
+++ b/packages/core/tests/ConfigInputErrorsTest.cpp
@@ -98,8 +98,13 @@
 
 const std::vector<Case> rulesCases {
     { "targets:", "targets: [", 3, 3, "end of sequence flow not found", "YAML" },
-    { rules, "", 1, 1, "0 documents", "one YAML document" },
-    { "links:", "---\nlinks:", 1, 1, "2 documents", "one YAML document" },
+    { rules, "", 1, 1, "no document", "one YAML document" },
+    { "links:", "---\nlinks:", 6, 1, "a second document", "one YAML document" },
+    { "links:", "}\nlinks:", 6, 1, "illegal flow end", "YAML" },
+    // A comma outside of a list is never consumed: YAML::LoadAll returns documents without end for it.
+    { rules, ", a", 1, 1, "a second document", "one YAML document" },
+    { "{weight: 2}", "&a {weight: *a}", 9, 18, "an alias", "the value itself" },
+    { "{weight: 2}", "[[[[[[[[[[[[[[[[[]]]]]]]]]]]]]]]]]", 9, 20, "a deeper level", "at most 16 levels" },
     { "default_rank", "defualt_rank", 12, 1, "defualt_rank",
         "one of accelerators, claim_retention, default_rank, links, organisations, ranks, "
         "serve_unlisted_organisations, targets" },
