Give the simulated runners addresses and require that work is done

Cause: the configuration of the simulated cluster was refused (addresses were not IP:port), so every request ended not-run and no guarantee could break; the deliberate faults were not found, which showed it. Change: real addresses, and a test that everything completes without failures. Conclusion: a check of the work done belongs to every simulation.

--- a/packages/core/tests/RouterFailureTest.cpp
+++ b/packages/core/tests/RouterFailureTest.cpp
@@ -141,3 +141,24 @@
     INFO("fault " << static_cast<int>(fault));
     CHECK(found > 0);
 }
+
+// Guards against a simulation in which nothing is served, so that no guarantee could break.
+TEST_CASE("Without failures every request is completed")
+{
+    Cluster cluster(ClusterOptions {});
+    cluster.run(std::chrono::seconds(3));
+    sendWork(cluster);
+    cluster.run(std::chrono::seconds(20));
+    CHECK(checkCluster(cluster.record(), { clusterLayers, true }).empty());
+    std::size_t completed = 0;
+    for (const auto& [id, call] : cluster.record().calls) {
+        REQUIRE(call.results.size() == 1);
+        const Result& result = call.results.front();
+        // A hasty caller may meet its own first attempt.
+        const bool hasty = call.request.idempotencyKey.starts_with("hasty");
+        INFO(reasonName(result.reason) << " " << result.detail);
+        CHECK((result.outcome == Outcome::Completed || hasty));
+        completed += result.outcome == Outcome::Completed ? 1 : 0;
+    }
+    CHECK(completed >= 14);
+}
--- a/packages/core/tests/support/Cluster.cpp
+++ b/packages/core/tests/support/Cluster.cpp
@@ -78,7 +78,7 @@
             runner.dataCentre = DataCentreId(name);
             runner.group = GroupId(name + "-model");
             runner.target = model;
-            runner.address = runner.id.value();
+            runner.address = fmt::format("127.0.0.1:{}", 1000 + configuration.endpoints.size());
             runner.layers.first = i / replicas * layersPerStage;
             runner.layers.end = runner.layers.first + layersPerStage;
             runner.acceleratorKind = kind.id;
@@ -91,7 +91,7 @@
         registry.dataCentre = DataCentreId(name);
         registry.group = GroupId(name + "-registry");
         registry.target = service;
-        registry.address = registry.id.value();
+        registry.address = fmt::format("127.0.0.1:{}", 1000 + configuration.endpoints.size());
         registry.link = link.id;
         registry.maxConcurrency = 16;
         configuration.endpoints.emplace(registry.id, registry);
@@ -261,7 +261,7 @@
 std::optional<std::uint32_t> Cluster::deadStage(const StartRun& run) const
 {
     for (std::uint32_t i = 0; i < run.route.size(); ++i) {
-        const auto back = m_endpointBackAt.find(run.route[i].address);
+        const auto back = m_endpointBackAt.find(run.route[i].endpoint.value());
         if (back != m_endpointBackAt.end() && m_clock.now() < back->second)
             return i;
     }
@@ -346,7 +346,7 @@
 {
     const RequestId request = action.call.request;
     const AttemptId attempt = action.call.attempt;
-    const auto back = m_endpointBackAt.find(action.call.address);
+    const auto back = m_endpointBackAt.find(action.call.endpoint.value());
     const bool dead = back != m_endpointBackAt.end() && m_clock.now() < back->second;
     if (dead || m_random.chance(m_options.faults.callRefused)) {
         deliverLater(
@@ -354,7 +354,7 @@
         return;
     }
     at(delay(), [this, action] {
-        m_record.executions.push_back({ action.call.request, action.idempotencyKey, action.call.address, elapsed() });
+        m_record.executions.push_back({ action.call.request, action.idempotencyKey, action.call.endpoint.value(), elapsed() });
     });
     if (m_random.chance(m_options.faults.callAnswerLost)) {
         deliverLater(index, m_options.faults.maxDelay * 2,
