Test budgets, corrections and heads of Sched with deliberate faults

Cause: with single faults put into the code on purpose the tests missed a retry without budget, a duplicate submission, a missing correction by actual cost, a claim that charged its organisation twice, a route over runners that do not deduplicate, and a move of an unstarted run to another head.

Change: one test for each of them.

--- a/packages/core/fuchsialb/src/Sched/SchedulerDispatch.cpp
+++ b/packages/core/fuchsialb/src/Sched/SchedulerDispatch.cpp
@@ -24,18 +24,6 @@
         request.order };
 }
 
-bool SchedulerBase::needsClaim(const ScheduledRequest& request) const
-{
-    return !request.request.idempotent && !request.claimed && !request.deduplicatedOnly && !request.mayHaveRun;
-}
-
-void SchedulerBase::startClaim(ScheduledRequest& request)
-{
-    request.state = State::Claiming;
-    ++m_claiming;
-    emit(ClaimNeeded { request.request.id, request.claimAttempt });
-}
-
 void SchedulerBase::putBack(ScheduledRequest& request)
 {
     m_queue.correct(request.request.rank, request.request.organisation, -request.estimate);
--- a/packages/core/tests/SchedClaimsTest.cpp
+++ b/packages/core/tests/SchedClaimsTest.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <cstdlib>
+
 using namespace fuchsialb;
 using namespace fuchsialb::test;
 
@@ -75,6 +77,28 @@
     CHECK(driver.all<ClaimSettled>().empty());
 }
 
+// Guards against a route with a runner that would run a repeated key again.
+TEST_CASE("While the store is unavailable every runner of a route deduplicates")
+{
+    Configuration configuration = schedModel(2, 1);
+    configuration.endpoints[EndpointId("a1")].deduplicates = true;
+    configuration.endpoints[EndpointId("b1")].deduplicates = true;
+    SchedDriver driver(configuration);
+    driver.verdict = { ClaimVerdict::Unavailable, 0 };
+    for (std::uint64_t number = 1; number <= 3; ++number) {
+        Request request = schedRequest(number, Rank::Recording);
+        request.idempotent = false;
+        request.idempotencyKey = "key";
+        driver.submit(request);
+    }
+    driver.advance(3s);
+    REQUIRE(driver.all<StartRun>().size() == 3);
+    for (const StartRun& start : driver.all<StartRun>()) {
+        CHECK(start.route[0].endpoint == EndpointId("a1"));
+        CHECK(start.route[1].endpoint == EndpointId("b1"));
+    }
+}
+
 // Guards against a repeated non-idempotent call, lost claims, and retries without bound.
 TEST_CASE("A failed call is retried only when that is safe and within the budget")
 {
@@ -130,24 +154,46 @@
         CHECK(driver.last<ClaimSettled>().outcome == Outcome::NotRun);
     }
 
-    SECTION("a broken service gets at most a tenth of the requests on top")
-    {
-        driver.plays = true;
-        driver.dead = { "s0", "s1", "s2" };
-        constexpr std::size_t requests = 200;
-        for (std::uint64_t number = 1; number <= requests; ++number) {
-            driver.submit(schedCall(number, true));
-            driver.advance(100ms);
-        }
-        driver.advance(30s);
-        const std::size_t retries = driver.decisions(Reason::Retried);
-        CHECK(retries > 0);
-        // The floor of the budget is 3 and 0.5 a second.
-        CHECK(retries <= requests / 10 + 3 + 25);
+    CHECK(driver.faults.empty());
+}
+
+// Guards against retries that multiply the load of a broken service.
+TEST_CASE("Retries stay within a tenth of the request rate")
+{
+    // Every request meets endpoints that have not failed yet, so that only the budget limits its retries.
+    SchedDriver driver(schedService(700, 1));
+    for (std::uint32_t i = 0; i < 700; ++i)
+        driver.dead.insert("s" + std::to_string(i));
+    constexpr std::size_t requests = 200;
+    for (std::uint64_t number = 1; number <= requests; ++number) {
+        driver.submit(schedCall(number, true));
+        driver.advance(10ms);
     }
+    const std::size_t retries = driver.decisions(Reason::Retried);
+    // The floor of the budget is 3 at once and 0.5 a second.
+    CHECK(retries >= requests / 10);
+    CHECK(retries <= requests / 10 + 3 + 1);
+    CHECK(driver.results.size() == requests);
     CHECK(driver.faults.empty());
 }
 
+// Guards against an organisation that pays twice for a request that went back to the queue for its claim.
+TEST_CASE("Claims cost an organisation no share")
+{
+    SchedDriver driver(schedService(1, 1));
+    for (std::uint64_t number = 1; number <= 80; ++number) {
+        Request call = schedCall(number, number % 2 == 0);
+        call.organisation = OrganisationId(number % 2 == 0 ? "idempotent" : "claiming");
+        driver.submit(call);
+    }
+    driver.advance(2s);
+    std::map<bool, int> completed;
+    for (const auto& [id, result] : driver.results)
+        ++completed[id.value().low % 2 == 0];
+    CHECK(completed[true] + completed[false] >= 30);
+    CHECK(std::abs(completed[true] - completed[false]) <= 2);
+}
+
 // Guards against a claim that stays taken by a request that was answered "not run" (P3).
 TEST_CASE("A claim granted too late is released")
 {
--- a/packages/core/tests/SchedRecoveryTest.cpp
+++ b/packages/core/tests/SchedRecoveryTest.cpp
@@ -39,6 +39,17 @@
         CHECK(driver.scheduler->idle());
     }
 
+    SECTION("a request that is submitted again is ignored, also after its answer")
+    {
+        driver.submit(schedRequest(1));
+        driver.scheduler->submit(schedRequest(1));
+        driver.advance(1s);
+        driver.scheduler->submit(schedRequest(1));
+        driver.advance(1s);
+        CHECK(driver.all<StartRun>().size() == 1);
+        CHECK(driver.all<Finish>().size() == 1);
+    }
+
     SECTION("stale, repeated, early and crossed tokens are dropped")
     {
         driver.plays = false;
@@ -273,6 +284,34 @@
     CHECK(driver.faults.empty());
 }
 
+// Guards against a second run on another head while the first one may still run the request.
+TEST_CASE("A non-idempotent run without tokens does not move to another head")
+{
+    Configuration configuration = schedModel(1, 4);
+    Endpoint whole = configuration.endpoints.at(EndpointId("a0"));
+    whole.id = EndpointId("whole");
+    whole.layers = { 0, 8 };
+    configuration.endpoints[whole.id] = whole;
+    SchedDriver driver(configuration);
+    Request request = schedRequest(1);
+    request.idempotent = GENERATE(true, false);
+    request.idempotencyKey = "key";
+    // Load on the single runner makes the pair cheaper.
+    for (std::uint64_t number = 2; number <= 5; ++number)
+        driver.submit(schedRequest(number, Rank::Urgent, 5));
+    driver.submit(request);
+    driver.advance(10ms);
+    REQUIRE(driver.last<StartRun>().request == request.id);
+    REQUIRE(driver.last<StartRun>().route.size() == 2);
+    driver.kill("b0");
+    driver.advance(3s);
+    CHECK(driver.result(1).outcome == (request.idempotent ? Outcome::Completed : Outcome::Unknown));
+    for (const StartRun& start : driver.all<StartRun>()) {
+        if (start.request == request.id && !request.idempotent)
+            CHECK(start.route[0].endpoint == EndpointId("a0"));
+    }
+}
+
 // Guards against urgent work that waits behind borrowed capacity, and against tokens sent twice after a preemption.
 TEST_CASE("An urgent request preempts the youngest stream on borrowed share")
 {
--- a/packages/core/tests/SchedShareTest.cpp
+++ b/packages/core/tests/SchedShareTest.cpp
@@ -185,3 +185,23 @@
     CHECK(load.served(0) > 0.1);
     CHECK(driver.faults.empty());
 }
+
+// Guards against an organisation that pays for tokens that its requests did not generate.
+TEST_CASE("Organisations share by actual cost, not by maxTokens")
+{
+    Configuration patient = schedModel(1, 2);
+    patient.ranks[Rank::Summary].maxQueueWait = 24h;
+    SchedDriver driver(patient);
+    driver.earlyStops[OrganisationId("short")] = 4;
+    for (std::uint64_t number = 1; number <= 400; ++number) {
+        driver.submit(schedRequest(number, Rank::Summary, 40, "short"));
+        driver.submit(schedRequest(1000 + number, Rank::Summary, 40, "long"));
+    }
+    driver.advance(50s);
+    // The prompt of 100 tokens costs 100 x 10 us against a token's share of a step, (5 ms + 2 x 50 us) / 2.
+    const double promptCost = 100 * 10e-6 / 2.55e-3;
+    const double shortCost = driver.tokensOfOrganisation["short"] * (1 + promptCost / 4);
+    const double longCost = driver.tokensOfOrganisation["long"] * (1 + promptCost / 40);
+    CHECK(shortCost / longCost == Approx(1.0).margin(0.1));
+    CHECK(driver.faults.empty());
+}
--- a/packages/core/tests/support/SchedDriver.cpp
+++ b/packages/core/tests/support/SchedDriver.cpp
@@ -210,7 +210,9 @@
         const auto run = m_runs.find(start.request);
         if (run == m_runs.end() || run->second.epoch != start.epoch)
             return;
-        if (position >= start.maxTokens) {
+        const auto early = earlyStops.find(m_requests[start.request].organisation);
+        const bool stops = early != earlyStops.end() && position >= early->second;
+        if (stops || position >= start.maxTokens) {
             m_runs.erase(run);
             scheduler->onRunFinished(start.request, start.attempt, start.epoch, "length");
             return;
--- a/packages/core/tests/support/SchedDriver.h
+++ b/packages/core/tests/support/SchedDriver.h
@@ -69,6 +69,8 @@
     std::set<std::string> dead;
     /// Runners that accept work and yield nothing.
     std::set<std::string> silent;
+    /// Organisations whose answers end after this many tokens, whatever the limit.
+    std::map<OrganisationId, std::uint32_t> earlyStops;
 
     std::vector<Effect> effects;
     /// All effects as text, in order.
