Keep the changes of a claim write apart from the segment

Cause: each write copied its segment with the index, and encoded it one byte at a time. With 10,000 records in each open segment that was most of the cost of a write.

Change: ClaimBatch holds the changes of one write. The segment is encoded together with them and changes in place when the store confirms them.

--- a/packages/core/fuchsialb/src/Claims/ClaimChain.cpp
+++ b/packages/core/fuchsialb/src/Claims/ClaimChain.cpp
@@ -6,27 +6,45 @@
 
 void ClaimChain::reset(std::uint64_t number)
 {
+    const bool ignoresSeals = m_ignoresSeals;
     *this = ClaimChain();
     m_number = number;
+    m_ignoresSeals = ignoresSeals;
 }
 
 bool ClaimChain::install(ClaimSegment segment, KeyVersion version)
 {
     if (version < m_version)
         return false;
-    if (!segment.sealed()) {
-        m_open = std::move(segment);
-        m_version = version;
-        return true;
-    }
-    for (const ClaimRecord& record : segment.records())
+    m_open = std::move(segment);
+    m_version = version;
+    moveOnWhenSealed();
+    return true;
+}
+
+bool ClaimChain::confirm(const ClaimBatch& batch, KeyVersion version)
+{
+    if (version <= m_version)
+        return false;
+    batch.apply(m_open);
+    m_version = version;
+    moveOnWhenSealed();
+    return true;
+}
+
+void ClaimChain::moveOnWhenSealed()
+{
+    if (m_ignoresSeals)
+        m_open.unseal();
+    if (!m_open.sealed())
+        return;
+    for (const ClaimRecord& record : m_open.records())
         m_sealed.insert_or_assign(record.key, Sealed { record, m_number });
-    m_lastSeal = std::max(m_lastSeal, segment.sealedAt());
+    m_lastSeal = std::max(m_lastSeal, m_open.sealedAt());
     m_seals.push_back(m_lastSeal);
     ++m_number;
     m_version = KeyVersion();
     m_open = ClaimSegment();
-    return true;
 }
 
 const ClaimRecord* ClaimChain::find(const ClaimKey& key) const
--- a/packages/core/fuchsialb/src/Claims/ClaimChain.h
+++ b/packages/core/fuchsialb/src/Claims/ClaimChain.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "ClaimBatch.h"
 #include "ClaimSegment.h"
 
 #include <absl/container/flat_hash_map.h>
@@ -15,10 +16,12 @@
     /// Forgets all and starts to read at segment `number`.
     void reset(std::uint64_t number);
 
-    /// Takes over the content of segment `number()`, as read or as confirmed by the store. A sealed segment moves the
-    /// end to its successor, which counts as missing until it is installed.
+    /// Takes over the content of segment `number()`, as read. A sealed segment moves the end to its successor, which
+    /// counts as missing until it is installed.
     /// \return False when the version is lower than one that was seen before: the store went back.
     bool install(ClaimSegment segment, KeyVersion version);
+    /// Makes the changes of a write that the store confirmed; the version must be higher than `version()`.
+    bool confirm(const ClaimBatch& batch, KeyVersion version);
 
     /// \return The newest record of a key, or null.
     const ClaimRecord* find(const ClaimKey& key) const;
@@ -36,7 +39,12 @@
     /// \return Time of the last seal; 0 when there is none.
     std::int64_t lastSeal() const { return m_lastSeal; }
 
+    /// Ignores the seal of the segment at the end; only for `ClaimFault::WriteIntoSealed`.
+    void setIgnoringSeals() { m_ignoresSeals = true; }
+
 private:
+    void moveOnWhenSealed();
+
     struct Sealed {
         ClaimRecord record;
         std::uint64_t segment = 0;
@@ -49,6 +57,7 @@
     /// Times of the seals of segments `oldest()` to `number() - 1`.
     std::deque<std::int64_t> m_seals;
     std::int64_t m_lastSeal = 0;
+    bool m_ignoresSeals = false;
 };
 
 } // namespace fuchsialb::internal
--- a/packages/core/fuchsialb/src/Claims/ClaimSegment.cpp
+++ b/packages/core/fuchsialb/src/Claims/ClaimSegment.cpp
@@ -5,7 +5,10 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+#include <bit>
 #include <cassert>
+#include <cstring>
 
 namespace fuchsialb::internal {
 
@@ -13,11 +16,39 @@
 
     constexpr std::uint8_t formatVersion = 1;
 
-    void write(ByteWriter& out, const Bits128& bits)
-    {
-        out.put(bits.high);
-        out.put(bits.low);
-    }
+    // Writes little-endian numbers to memory of the right size.
+    class Cursor {
+    public:
+        explicit Cursor(char* at)
+            : m_at(at)
+        {
+        }
+
+        template <typename Number> void put(Number value)
+        {
+            if constexpr (std::endian::native == std::endian::little) {
+                std::memcpy(m_at, &value, sizeof(value));
+            } else {
+                for (std::size_t i = 0; i < sizeof(value); ++i)
+                    m_at[i] = static_cast<char>((static_cast<std::uint64_t>(value) >> (8 * i)) & 0xff);
+            }
+            m_at += sizeof(value);
+        }
+
+        void put(const ClaimRecord& record)
+        {
+            put(record.key.value().high);
+            put(record.key.value().low);
+            put(record.bodyDigest);
+            put(record.attempt.value().high);
+            put(record.attempt.value().low);
+            put(static_cast<std::uint8_t>(record.state));
+            put(record.httpStatus);
+        }
+
+    private:
+        char* m_at;
+    };
 
     Bits128 readBits(ByteReader& in)
     {
@@ -60,9 +91,9 @@
     if (sealed > 1)
         return malformed("sealed is neither 0 nor 1");
     ClaimSegment segment;
-    segment.m_sealed = sealed == 1;
-    segment.m_createdAt = in.read<std::int64_t>();
-    segment.m_sealedAt = in.read<std::int64_t>();
+    segment.m_header.sealed = sealed == 1;
+    segment.m_header.createdAt = in.read<std::int64_t>();
+    segment.m_header.sealedAt = in.read<std::int64_t>();
     const auto count = in.read<std::uint32_t>();
     if (in.left() != std::size_t { count } * recordBytes)
         return malformed("number of records does not match the size");
@@ -79,23 +110,29 @@
     return segment;
 }
 
-std::string ClaimSegment::encode() const
+std::string ClaimSegment::encode(const Header& header, const std::vector<ClaimRecord>& changes) const
 {
-    ByteWriter out(headerBytes + m_records.size() * recordBytes + checksumBytes);
+    const auto added = static_cast<std::size_t>(std::count_if(
+        changes.begin(), changes.end(), [this](const ClaimRecord& record) { return !m_index.contains(record.key); }));
+    const std::size_t count = m_records.size() + added;
+    std::string bytes(headerBytes + count * recordBytes + checksumBytes, '\0');
+    Cursor out(bytes.data());
     out.put(formatVersion);
-    out.put(static_cast<std::uint8_t>(m_sealed ? 1 : 0));
-    out.put(m_createdAt);
-    out.put(m_sealedAt);
-    out.put(static_cast<std::uint32_t>(m_records.size()));
-    for (const ClaimRecord& record : m_records) {
-        write(out, record.key.value());
-        out.put(record.bodyDigest);
-        write(out, record.attempt.value());
-        out.put(static_cast<std::uint8_t>(record.state));
-        out.put(record.httpStatus);
+    out.put(static_cast<std::uint8_t>(header.sealed ? 1 : 0));
+    out.put(header.createdAt);
+    out.put(header.sealedAt);
+    out.put(static_cast<std::uint32_t>(count));
+    for (const ClaimRecord& record : m_records)
+        out.put(record);
+    for (const ClaimRecord& record : changes) {
+        const auto found = m_index.find(record.key);
+        if (found == m_index.end())
+            out.put(record);
+        else
+            Cursor(bytes.data() + headerBytes + found->second * recordBytes).put(record);
     }
-    out.put(hash64(out.bytes()));
-    return out.take();
+    out.put(hash64(std::string_view(bytes).substr(0, bytes.size() - checksumBytes)));
+    return bytes;
 }
 
 const ClaimRecord* ClaimSegment::find(const ClaimKey& key) const
@@ -106,7 +143,7 @@
 
 void ClaimSegment::put(const ClaimRecord& record)
 {
-    assert(!m_sealed);
+    assert(!sealed());
     const auto [entry, isNew] = m_index.emplace(record.key, m_records.size());
     if (isNew)
         m_records.push_back(record);
@@ -116,8 +153,8 @@
 
 void ClaimSegment::seal(std::int64_t unixSeconds)
 {
-    m_sealed = true;
-    m_sealedAt = unixSeconds;
+    m_header.sealed = true;
+    m_header.sealedAt = unixSeconds;
 }
 
 std::size_t ClaimSegment::capacity(Bytes limit)
--- a/packages/core/fuchsialb/src/Claims/ClaimSegment.h
+++ b/packages/core/fuchsialb/src/Claims/ClaimSegment.h
@@ -43,9 +43,19 @@
     static constexpr std::size_t recordBytes = 43;
     static constexpr std::size_t checksumBytes = 8;
 
+    struct Header {
+        bool sealed = false;
+        /// Seconds since the Unix epoch.
+        std::int64_t createdAt = 0;
+        std::int64_t sealedAt = 0;
+    };
+
     /// \return `MalformedMessage` when the bytes are not the encoding of a segment.
     static absl::StatusOr<ClaimSegment> decode(std::string_view bytes);
-    std::string encode() const;
+    std::string encode() const { return encode(m_header, {}); }
+    /// Encodes the segment with another header and with some records added or replaced.
+    /// \param changes At most one record for each key.
+    std::string encode(const Header& header, const std::vector<ClaimRecord>& changes) const;
 
     /// \return The record of a key, or null.
     const ClaimRecord* find(const ClaimKey& key) const;
@@ -53,23 +63,21 @@
     void put(const ClaimRecord& record);
     const std::vector<ClaimRecord>& records() const { return m_records; }
 
-    bool sealed() const { return m_sealed; }
+    bool sealed() const { return m_header.sealed; }
     /// \param unixSeconds Time of the seal, not before the time of any record.
     void seal(std::int64_t unixSeconds);
     /// Undoes a seal; only for tests of the checker that must notice a write into a sealed segment.
-    void unseal() { m_sealed = false; }
+    void unseal() { m_header.sealed = false; }
 
-    std::int64_t createdAt() const { return m_createdAt; }
-    void setCreatedAt(std::int64_t unixSeconds) { m_createdAt = unixSeconds; }
-    std::int64_t sealedAt() const { return m_sealedAt; }
+    std::int64_t createdAt() const { return m_header.createdAt; }
+    void setCreatedAt(std::int64_t unixSeconds) { m_header.createdAt = unixSeconds; }
+    std::int64_t sealedAt() const { return m_header.sealedAt; }
 
     /// \return Number of records that fit in `limit` bytes.
     static std::size_t capacity(Bytes limit);
 
 private:
-    bool m_sealed = false;
-    std::int64_t m_createdAt = 0;
-    std::int64_t m_sealedAt = 0;
+    Header m_header;
     std::vector<ClaimRecord> m_records;
     absl::flat_hash_map<ClaimKey, std::size_t> m_index;
 };
--- a/packages/core/fuchsialb/src/Claims/ClaimShard.cpp
+++ b/packages/core/fuchsialb/src/Claims/ClaimShard.cpp
@@ -2,6 +2,7 @@
 
 #include "ClaimHead.h"
 
+#include <absl/container/flat_hash_set.h>
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -30,6 +31,8 @@
     , m_fault(fault)
     , m_out(out)
 {
+    if (m_fault == ClaimFault::WriteIntoSealed)
+        m_chain.setIgnoringSeals();
 }
 
 void ClaimShard::claim(RequestId request, AttemptId attempt, const ClaimKey& key, std::uint64_t bodyDigest)
@@ -164,11 +167,11 @@
     return record && record->attempt == attempt && record->state == ClaimState::Claimed;
 }
 
-StoreOperationId ClaimShard::issue(OperationKind kind, ClaimSegment segment)
+StoreOperationId ClaimShard::issue(OperationKind kind, std::optional<ClaimBatch> batch)
 {
     assert(!m_inFlight);
     const StoreOperationId id(m_out.issued++ * m_shards + m_index);
-    m_inFlight = InFlight { id, kind, m_clock.now(), std::move(segment) };
+    m_inFlight = InFlight { id, kind, m_clock.now(), std::move(batch) };
     return id;
 }
 
@@ -182,58 +185,56 @@
     const std::int64_t now = m_options.unixSeconds();
     m_chain.dropSealedUntil(now - wholeSeconds(m_options.retention) - 2 * wholeSeconds(m_options.maxClockError));
     m_headWriteDue = m_chain.oldest() > m_headOldest;
-    ClaimSegment segment = m_chain.open();
+    ClaimBatch batch(m_chain.open());
     if (m_chain.version() == KeyVersion())
-        segment.setCreatedAt(std::max(now, m_chain.lastSeal()));
-    const std::size_t before = segment.records().size();
-    bool fits = addSettlements(segment);
-    fits = addClaims(segment) && fits;
-    const bool isOld = now - segment.createdAt() >= wholeSeconds(m_options.maxSegmentAge);
-    if (!fits || isOld || (segment.records().size() >= capacity() && segment.records().size() > before))
-        segment.seal(std::max({ now, m_chain.lastSeal(), segment.createdAt() }));
-    const bool isChanged = segment.sealed() || segment.records() != m_chain.open().records();
-    if (isChanged)
-        write(std::move(segment));
+        batch.setCreatedAt(std::max(now, m_chain.lastSeal()));
+    bool fits = addSettlements(batch);
+    fits = addClaims(batch) && fits;
+    const bool isOld = now - batch.createdAt() >= wholeSeconds(m_options.maxSegmentAge);
+    if (!fits || isOld || (batch.size() >= capacity() && batch.isLarger()))
+        batch.seal(std::max({ now, m_chain.lastSeal(), batch.createdAt() }));
+    if (!batch.isEmpty())
+        write(std::move(batch));
 }
 
 // Returns false when a record did not fit.
-bool ClaimShard::addSettlements(ClaimSegment& segment) const
+bool ClaimShard::addSettlements(ClaimBatch& batch) const
 {
     for (const auto& [attempt, settlement] : m_settlements) {
         const ClaimRecord* found = m_chain.find(settlement.key);
         if (!found || found->attempt != attempt)
             continue;
-        if (!segment.find(settlement.key) && segment.records().size() >= capacity())
+        if (!batch.contains(settlement.key) && batch.size() >= capacity())
             return false;
         ClaimRecord record = *found;
         record.state = settlement.state;
         record.httpStatus = settlement.httpStatus;
-        segment.put(record);
+        batch.put(record);
     }
     return true;
 }
 
 // Returns false when a record did not fit. A second claim of a key waits until the first one is decided.
-bool ClaimShard::addClaims(ClaimSegment& segment)
+bool ClaimShard::addClaims(ClaimBatch& batch)
 {
-    absl::flat_hash_map<ClaimKey, AttemptId> added;
+    absl::flat_hash_set<ClaimKey> added;
     for (Claim& claim : m_claims) {
         if (added.contains(claim.key) || judge(claim).answer)
             continue;
-        if (!segment.find(claim.key) && segment.records().size() >= capacity())
+        if (!batch.contains(claim.key) && batch.size() >= capacity())
             return false;
-        segment.put({ claim.key, claim.bodyDigest, claim.attempt });
-        added.emplace(claim.key, claim.attempt);
+        batch.put({ claim.key, claim.bodyDigest, claim.attempt });
+        added.insert(claim.key);
         claim.written = true;
     }
     return true;
 }
 
-void ClaimShard::write(ClaimSegment segment)
+void ClaimShard::write(ClaimBatch batch)
 {
-    const std::string value = segment.encode();
-    const StoreOperationId id = issue(OperationKind::WriteSegment, std::move(segment));
-    m_out.operations.emplace_back(StoreCompareAndSwap { id, segmentKey(), m_chain.version(), value });
+    std::string value = batch.encode();
+    const StoreOperationId id = issue(OperationKind::WriteSegment, std::move(batch));
+    m_out.operations.emplace_back(StoreCompareAndSwap { id, segmentKey(), m_chain.version(), std::move(value) });
     m_unresolved = SegmentVersion { m_chain.number(), m_chain.version() };
     m_lastWrite = m_clock.now();
     m_rateTime = std::max(m_rateTime, m_lastWrite) + m_options.maxBatchInterval;
--- a/packages/core/fuchsialb/src/Claims/ClaimShard.h
+++ b/packages/core/fuchsialb/src/Claims/ClaimShard.h
@@ -45,8 +45,8 @@
         StoreOperationId id;
         OperationKind kind = OperationKind::ReadHead;
         TimePoint since;
-        /// Content of a segment write.
-        ClaimSegment segment;
+        /// Changes of a segment write.
+        std::optional<ClaimBatch> batch;
     };
 
     struct Claim {
@@ -86,22 +86,22 @@
     void queueSettlement(const AttemptId& attempt, const Settlement& settlement);
     bool isStanding(const AttemptId& attempt, const ClaimKey& key) const;
 
-    StoreOperationId issue(OperationKind kind, ClaimSegment segment = {});
+    StoreOperationId issue(OperationKind kind, std::optional<ClaimBatch> batch = std::nullopt);
     void read(OperationKind kind, const std::string& key);
     void writeBatch();
-    bool addSettlements(ClaimSegment& segment) const;
-    bool addClaims(ClaimSegment& segment);
-    void write(ClaimSegment segment);
+    bool addSettlements(ClaimBatch& batch) const;
+    bool addClaims(ClaimBatch& batch);
+    void write(ClaimBatch batch);
     void writeHead();
 
     void onHead(const StoreAnswer& answer);
     void onSegment(const InFlight& operation, const StoreAnswer& answer);
     void onMissing(const InFlight& operation);
     void onSegmentWritten(const InFlight& operation, const StoreAnswer& answer);
+    bool confirm(const InFlight& operation, KeyVersion version);
     void onLost(const InFlight& operation);
     void onConflict(const StoreAnswer& answer);
     void onHeadWritten(const StoreAnswer& answer);
-    bool install(ClaimSegment segment, KeyVersion version, TimePoint asOf);
     void resolve();
     void resolveAbandoned();
     void measure(TimePoint issued);
--- a/packages/core/fuchsialb/src/Claims/ClaimShardAnswers.cpp
+++ b/packages/core/fuchsialb/src/Claims/ClaimShardAnswers.cpp
@@ -87,8 +87,12 @@
         return backOff();
     const KeyVersion known = m_chain.version();
     const bool isEnd = !segment->sealed() || m_fault == ClaimFault::WriteIntoSealed;
-    if (!install(*std::move(segment), answer.version, operation.since))
+    if (!isEnd && m_fault == ClaimFault::SkipOlderSegments && !m_chainRead)
+        m_chain.reset(m_chain.number() + 1);
+    else if (!m_chain.install(*std::move(segment), answer.version))
         return backOff();
+    m_freshAsOf = operation.since;
+    resolve();
     m_chainRead = isEnd;
     m_stale = false;
     m_contended = m_chain.version() != known;
@@ -118,7 +122,7 @@
     case StoreAnswer::Kind::Ok:
         m_conflicts = 0;
         // A version that went back or stood still can't confirm anything.
-        m_stale = !install(operation.segment, answer.version, operation.since);
+        m_stale = !confirm(operation, answer.version);
         return;
     case StoreAnswer::Kind::Conflict:
         return onConflict(answer);
@@ -155,7 +159,7 @@
     m_stale = true;
     if (m_fault == ClaimFault::LostIsSuccess) {
         m_stale = false;
-        install(operation.segment, KeyVersion(m_chain.version().value() + 1), operation.since);
+        confirm(operation, KeyVersion(m_chain.version().value() + 1));
     } else if (m_fault == ClaimFault::LostIsFailure) {
         m_unresolved.reset();
         for (Claim& claim : std::exchange(m_claims, {})) {
@@ -165,15 +169,11 @@
     }
 }
 
-bool ClaimShard::install(ClaimSegment segment, KeyVersion version, TimePoint asOf)
+bool ClaimShard::confirm(const InFlight& operation, KeyVersion version)
 {
-    if (segment.sealed() && m_fault == ClaimFault::WriteIntoSealed)
-        segment.unseal();
-    if (segment.sealed() && m_fault == ClaimFault::SkipOlderSegments && !m_chainRead)
-        m_chain.reset(m_chain.number() + 1);
-    else if (!m_chain.install(std::move(segment), version))
+    if (!m_chain.confirm(*operation.batch, version))
         return false;
-    m_freshAsOf = asOf;
+    m_freshAsOf = operation.since;
     resolve();
     return true;
 }
