Avoid temporary strings when status values are printed

Cause: the linter rejects a string concatenation in AdminCommands.cpp. Change: the path is built by fmt. After: cli.CommandsTest and cli.ConfigApplyTest pass. Conclusion: the linter has no finding in this package's own files.

--- a/packages/cli/fuchsialb/src/Cli/AdminCommands.cpp
+++ b/packages/cli/fuchsialb/src/Cli/AdminCommands.cpp
@@ -55,7 +55,7 @@
         if (!value.is_structured() || value.empty())
             return report.line(fmt::format("  {}={}", printable(path, maxValueLength), valueText(value)));
         for (const auto& [key, member] : value.items())
-            printFlat(member, path.empty() ? key : path + "." + key, report);
+            printFlat(member, path.empty() ? key : fmt::format("{}.{}", path, key), report);
     }
 
     /// Calls each daemon and prints its answer.
