--- a/packages/core/fuchsialb/src/Config/YamlNode.cpp
+++ b/packages/core/fuchsialb/src/Config/YamlNode.cpp
@@ -4,6 +4,7 @@
 #include <yaml-cpp/eventhandler.h>
 #include <yaml-cpp/yaml.h>
 
+#include <algorithm>
 #include <sstream>
 #include <utility>
 
@@ -14,35 +15,72 @@
     constexpr std::size_t maxDepth = 16;
     constexpr std::size_t maxNodes = 200'000;
 
-    SourcePosition positionOf(const YAML::Mark& mark)
-    {
-        if (mark.is_null())
-            return {};
-        return { static_cast<std::uint32_t>(mark.line) + 1, static_cast<std::uint32_t>(mark.column) + 1 };
-    }
+    constexpr std::string_view byteOrderMark = "\xef\xbb\xbf";
+
+    /// Turns the marks of yaml-cpp, whose columns count bytes, into positions whose columns count characters.
+    class Positions {
+    public:
+        explicit Positions(std::string_view text)
+            : m_text(text)
+            , m_lines { 0 }
+        {
+            for (std::size_t i = text.find('\n'); i != std::string_view::npos; i = text.find('\n', i + 1))
+                m_lines.push_back(i + 1);
+        }
+
+        SourcePosition of(const YAML::Mark& mark)
+        {
+            if (mark.is_null())
+                return {};
+            const auto line = static_cast<std::size_t>(mark.line);
+            const std::size_t begin = line < m_lines.size() ? m_lines[line] : m_text.size();
+            const std::size_t end = std::min(begin + static_cast<std::size_t>(mark.column), m_text.size());
+            // Marks mostly advance, so that a long line is counted once.
+            if (line != m_line || end < m_end) {
+                m_line = line;
+                m_end = begin;
+                m_characters = 0;
+            }
+            for (; m_end < end; ++m_end)
+                m_characters += (static_cast<unsigned char>(m_text[m_end]) & 0xc0U) == 0x80U ? 0 : 1;
+            return { static_cast<std::uint32_t>(line) + 1, m_characters + 1 };
+        }
+
+    private:
+        std::string_view m_text;
+        std::vector<std::size_t> m_lines;
+        std::size_t m_line = 0;
+        std::size_t m_end = 0;
+        std::uint32_t m_characters = 0;
+    };
 
     /// Builds the tree; throws the fault that ends the parsing.
     class TreeBuilder final : public YAML::EventHandler {
     public:
+        explicit TreeBuilder(Positions& positions)
+            : m_positions(positions)
+        {
+        }
+
         YamlNode take() { return std::move(m_root.children.front()); }
 
         void OnDocumentStart(const YAML::Mark& mark) override
         {
             if (!m_root.children.empty())
-                throw YamlFault { positionOf(mark), "a second document", "one YAML document" };
+                throw YamlFault { m_positions.of(mark), "a second document", "one YAML document" };
         }
         void OnDocumentEnd() override { }
         void OnNull(const YAML::Mark& mark, YAML::anchor_t) override
         {
-            add({ YamlNode::Kind::Null, {}, positionOf(mark), {} });
+            add({ YamlNode::Kind::Null, {}, m_positions.of(mark), {} });
         }
         void OnAlias(const YAML::Mark& mark, YAML::anchor_t) override
         {
-            throw YamlFault { positionOf(mark), "an alias", "the value itself" };
+            throw YamlFault { m_positions.of(mark), "an alias", "the value itself" };
         }
         void OnScalar(const YAML::Mark& mark, const std::string&, YAML::anchor_t, const std::string& value) override
         {
-            add({ YamlNode::Kind::Scalar, value, positionOf(mark), {} });
+            add({ YamlNode::Kind::Scalar, value, m_positions.of(mark), {} });
         }
         void OnSequenceStart(
             const YAML::Mark& mark, const std::string&, YAML::anchor_t, YAML::EmitterStyle::value) override
@@ -67,8 +105,8 @@
         void open(YamlNode::Kind kind, const YAML::Mark& mark)
         {
             if (m_open.size() >= maxDepth)
-                throw YamlFault { positionOf(mark), "a deeper level", fmt::format("at most {} levels", maxDepth) };
-            m_open.push_back({ kind, {}, positionOf(mark), {} });
+                throw YamlFault { m_positions.of(mark), "a deeper level", fmt::format("at most {} levels", maxDepth) };
+            m_open.push_back({ kind, {}, m_positions.of(mark), {} });
         }
 
         void close()
@@ -78,6 +116,7 @@
             add(std::move(node));
         }
 
+        Positions& m_positions;
         YamlNode m_root;
         std::vector<YamlNode> m_open;
         std::size_t m_nodes = 0;
@@ -87,8 +126,11 @@
 
 std::variant<YamlNode, YamlFault> parseYaml(std::string_view text)
 {
+    if (text.starts_with(byteOrderMark))
+        text.remove_prefix(byteOrderMark.size());
     std::istringstream stream { std::string(text) };
-    TreeBuilder builder;
+    Positions positions(text);
+    TreeBuilder builder(positions);
     try {
         YAML::Parser parser(stream);
         if (!parser.HandleNextDocument(builder))
@@ -98,7 +140,7 @@
     } catch (const YamlFault& fault) {
         return fault;
     } catch (const YAML::Exception& exception) {
-        return YamlFault { positionOf(exception.mark), exception.msg, "YAML" };
+        return YamlFault { positions.of(exception.mark), exception.msg, "YAML" };
     }
 }
 
--- a/packages/core/tests/ConfigInputErrorsTest.cpp
+++ b/packages/core/tests/ConfigInputErrorsTest.cpp
@@ -111,6 +111,9 @@
     { "organisations:", "links:", 8, 1, "links", "a key once" },
     { "m: {kind", "m m: {kind", 2, 3, "m m", idRule },
     { "kind: model", "kind: modal", 2, 13, "modal", "model or service" },
+    // yaml-cpp counts the bytes of a character.
+    { "o: {weight: 2}", "\"\xc3\xa9\": 1", 9, 3, "\xc3\xa9", idRule },
+    { "  o: {weight: 2}", "  \"o\": # \xc3\xa9\n   {weight: 2, x: 1}", 10, 16, "x", "one of weight" },
     { "layers: 4", "layers: 0", 2, 28, "0", "1 to 4096" },
     { "layers: 4", "layers: [4]", 2, 28, "a list", "1 to 4096" },
     { ", layers: 4", "", 2, 6, "a mapping without layers", "a key layers" },
@@ -202,6 +205,12 @@
         == "i.csv:2:1: read 'r 1', accepted is 1 to 64 letters, digits, \\'.\\', \\'_\\' or \\'-\\', beginning with a "
            "letter or a digit [invalid-inventory]");
     CHECK(parsed.errors[2].line == 4);
+
+    const std::string twoWide = "{weight: 2, \xc3\xa9\xc3\xa9: 1, weight: 3}";
+    const auto columns = RulesParser::parse(replaced(rules, "{weight: 2}", twoWide), "r.yaml").errors;
+    REQUIRE(columns.size() == 2);
+    CHECK(columns[0].column == 18);
+    CHECK(columns[1].column == 25);
 }
 
 // Guards against an input that exhausts the operator's machine.
