Test that an engine stops a run whose stream was closed

Cause: the path from a closed stream to the other stages had no test. Change: a test waits until all stages hold state, closes the stream and waits until none holds state of a request in progress. Conclusion: a caller that leaves frees the slots of all stages.

--- a/standins/tests/EngineTest.cpp
+++ b/standins/tests/EngineTest.cpp
@@ -219,3 +219,30 @@
         CHECK(result.end["stage"] == 2);
     }
 }
+
+// Guards against engines that work on for a caller that has left.
+TEST_CASE("An engine stops a run whose stream was closed")
+{
+    Pipeline pipeline;
+    HttpClient& client = *pipeline.client;
+    std::promise<void> third;
+    std::size_t pieces = 0;
+    const Json body { { "request", "r1" }, { "epoch", 1 }, { "route", pipeline.route() }, { "prompt", prompt },
+        { "max_tokens", 100'000 } };
+    const auto stream = client.start(jsonPost(local(pipeline.port(0)), "/v1/pipeline/run", body),
+        { [&](std::string_view) {
+             if (++pieces == 3)
+                 third.set_value();
+         },
+            {}, {} });
+    REQUIRE(stream.ok());
+    await(third.get_future());
+    const auto load = [&](std::size_t stage) { return read(client, pipeline.port(stage), "/v1/load"); };
+    for (std::size_t stage = 0; stage < Pipeline::stages; ++stage)
+        REQUIRE(eventually([&] { return load(stage)["kv_tokens_used"] > 0; }));
+    client.cancel(*stream);
+    for (std::size_t stage = 0; stage < Pipeline::stages; ++stage) {
+        CHECK(eventually([&] { return load(stage)["kv_tokens_used"] == 0; }));
+    }
+    CHECK(load(0)["running"] == 0);
+}
