Rename the wait for a configuration in force

Cause: the core has a class Rollout as well, so the client does not compile next to it. Change: the client's class is InForceWait. Before: the name is ambiguous once both are present.

--- a/packages/cli/fuchsialb/src/Cli/AdminCommands.cpp
+++ b/packages/cli/fuchsialb/src/Cli/AdminCommands.cpp
@@ -101,9 +101,9 @@
     }
 
     /// Waits for the daemons of each data centre.
-    class Rollout {
+    class InForceWait {
     public:
-        Rollout(std::uint64_t version, const Settings& settings, const Environment& environment, Report& report)
+        InForceWait(std::uint64_t version, const Settings& settings, const Environment& environment, Report& report)
             : m_version(version)
             , m_settings(settings)
             , m_environment(environment)
@@ -197,7 +197,7 @@
 
 ExitCode waitInForce(std::uint64_t version, const Settings& settings, const Environment& environment, Report& report)
 {
-    return Rollout(version, settings, environment, report).run();
+    return InForceWait(version, settings, environment, report).run();
 }
 
 ExitCode showStatus(const Settings& settings, const Environment& environment)
