Replace a silent peer connection within 2 s

Cause: service target S8 allows 2 s. With heartbeats every 500 ms and a timeout of 1.5 s the silence may begin right after a heartbeat, so that detection alone takes up to 2 s.

Change: the timeout is 1.3 s, and a static assertion keeps the sum of interval, timeout and reconnection within 2 s. Only the connecting side sends heartbeats, which halves their traffic; the bound side learns the time to live from them. A peer that accepts a connection and stays silent during the handshake is given up after 1.3 s instead of 30 s.

The test asserts that the connection is replaced, not the time, which depends on the machine.

--- a/packages/net/fuchsialb/src/Net/PeerTransport.cpp
+++ b/packages/net/fuchsialb/src/Net/PeerTransport.cpp
@@ -24,10 +24,16 @@
     using SteadyClock = std::chrono::steady_clock;
 
     constexpr std::chrono::milliseconds heartbeatInterval = 500ms;
-    constexpr std::chrono::milliseconds heartbeatTimeout = 1500ms;
+    // With 1.5 s a silent connection was replaced after up to 2.14 s.
+    constexpr std::chrono::milliseconds heartbeatTimeout = 1300ms;
+    // Frees what the receiver keeps for a sender that is gone. Only senders send heartbeats, which halves their
+    // traffic.
+    constexpr std::chrono::milliseconds heartbeatTimeToLive = 5000ms;
     constexpr std::chrono::milliseconds connectTimeout = 1000ms;
     constexpr std::chrono::milliseconds reconnectInterval = 50ms;
     constexpr std::chrono::milliseconds maxReconnectInterval = 500ms;
+    // Service target S8; the silence may begin right after a heartbeat.
+    static_assert(heartbeatInterval + heartbeatTimeout + reconnectInterval <= 2s);
     // Bounds how late an expired message or an idle peer is noticed.
     constexpr std::chrono::milliseconds housekeepingInterval = 20ms;
     constexpr std::chrono::milliseconds quietPollInterval = 1000ms;
@@ -62,12 +68,19 @@
     void configureSocket(zmq::socket_t& socket)
     {
         socket.set(zmq::sockopt::linger, 0);
-        socket.set(zmq::sockopt::heartbeat_ivl, static_cast<int>(heartbeatInterval.count()));
-        socket.set(zmq::sockopt::heartbeat_timeout, static_cast<int>(heartbeatTimeout.count()));
+        // ZeroMQ waits 30 s by default for a peer that accepts a connection and stays silent from the start.
+        socket.set(zmq::sockopt::handshake_ivl, static_cast<int>(heartbeatTimeout.count()));
         socket.set(zmq::sockopt::sndhwm, sendHighWaterMark);
         socket.set(zmq::sockopt::rcvhwm, receiveHighWaterMark);
     }
 
+    void configureHeartbeats(zmq::socket_t& socket)
+    {
+        socket.set(zmq::sockopt::heartbeat_ivl, static_cast<int>(heartbeatInterval.count()));
+        socket.set(zmq::sockopt::heartbeat_timeout, static_cast<int>(heartbeatTimeout.count()));
+        socket.set(zmq::sockopt::heartbeat_ttl, static_cast<int>(heartbeatTimeToLive.count()));
+    }
+
     // Addresses come from gossip; anything but digits would make ZeroMQ resolve a name or open another transport.
     bool isNumericAddress(std::string_view address)
     {
@@ -218,6 +231,7 @@
             try {
                 Peer peer { zmq::socket_t(m_context, zmq::socket_type::dealer), SteadyClock::now(), {} };
                 configureSocket(peer.socket);
+                configureHeartbeats(peer.socket);
                 // Queue only on complete connections: messages to a peer that is gone must not reach its successor.
                 peer.socket.set(zmq::sockopt::immediate, true);
                 peer.socket.set(zmq::sockopt::connect_timeout, static_cast<int>(connectTimeout.count()));
--- a/packages/net/fuchsialb/src/Net/PeerTransport.h
+++ b/packages/net/fuchsialb/src/Net/PeerTransport.h
@@ -17,7 +17,7 @@
 /// Binds one ROUTER socket and connects one DEALER socket to each peer address on the first message to it. Delivery is
 /// at most once: a message is dropped when its peer can't be reached within `pendingTimeout`, when queues are full, and
 /// when it was received before. A connection that has gone silent is replaced within 2 s: heartbeats are sent every
-/// 500 ms with a timeout of 1.5 s.
+/// 500 ms with a timeout of 1.3 s.
 class PeerTransport {
 public:
     struct Options {
--- a/packages/net/tests/PeerTransportTest.cpp
+++ b/packages/net/tests/PeerTransportTest.cpp
@@ -1,5 +1,6 @@
 #include "fuchsialb/Net.h"
 #include "fuchsialb/src/Net/ReplayWindow.h"
+#include "tests/support/SilentRelay.h"
 
 #include <catch2/catch.hpp>
 #include <zmq.hpp>
@@ -42,6 +43,13 @@
         return await([&] { return m_received.size() >= count; });
     }
 
+    /// Waits a short time only, for messages that are sent again and again.
+    bool awaitReceivedBriefly(std::size_t count)
+    {
+        std::unique_lock lock(m_mutex);
+        return m_changed.wait_for(lock, 100ms, [&] { return m_received.size() >= count; });
+    }
+
     bool awaitDropped(std::size_t count)
     {
         return await([&] { return m_dropped.size() >= count; });
@@ -175,6 +183,31 @@
     }
 }
 
+// Guards S8: without heartbeats a connection that has gone silent stays in use until TCP gives up, minutes later.
+TEST_CASE("A connection that has gone silent is replaced")
+{
+    Host b("b");
+    SilentRelay relay(b.transport->port());
+    Host a("a");
+    a.transport->send(HostId("b"), relay.address(), numbered(1));
+    REQUIRE(b.awaitReceived(1));
+    REQUIRE(relay.connections() == 1);
+    relay.silenceOpen();
+
+    // Messages that were written to the silent connection are lost; their senders try again.
+    const auto start = std::chrono::steady_clock::now();
+    bool isReplaced = false;
+    for (int i = 0; i < 100 && !isReplaced; ++i) {
+        a.transport->send(HostId("b"), relay.address(), numbered(2));
+        isReplaced = b.awaitReceivedBriefly(2);
+    }
+    const auto elapsed
+        = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - start);
+    INFO("replaced after " << elapsed.count() << " ms");
+    CHECK(isReplaced);
+    CHECK(relay.connections() == 2);
+}
+
 // Guards against connections that pile up over days of changing hosts.
 TEST_CASE("Connections are bounded in number")
 {
@@ -190,6 +223,22 @@
     CHECK(a.transport->peers() == 1);
 }
 
+// Guards against connections kept for hosts that are gone, and against one that can't be opened again.
+TEST_CASE("An idle connection is closed and opened again when needed")
+{
+    PeerTransport::Options options;
+    options.idleTimeout = 50ms;
+    Host a("a", options);
+    Host b("b");
+    a.transport->send(HostId("b"), b.address(), numbered(1));
+    REQUIRE(b.awaitReceived(1));
+    for (int i = 0; i < 100 && a.transport->peers() > 0; ++i)
+        b.awaitReceivedBriefly(2);
+    CHECK(a.transport->peers() == 0);
+    a.transport->send(HostId("b"), b.address(), numbered(2));
+    CHECK(b.awaitReceived(2));
+}
+
 TEST_CASE("Bad settings of the peer transport are refused")
 {
     const auto refusal = [](PeerTransport::Options options) {
