Read streamed completions in the form that the daemon sends

Cause: the stand-in caller expected the text at the top of an event, while the completions interface carries it in choices, so every answer counted as wrong. Change: the caller and its test read choices and the outcome inside an error.

--- a/standins/fuchsialb/src/Standins/CallerSession.cpp
+++ b/standins/fuchsialb/src/Standins/CallerSession.cpp
@@ -136,9 +136,13 @@
 
 void CallerSession::onEvent(const ExchangeHandle& exchange, const Json& event, TimePoint time)
 {
-    if (event.contains("outcome"))
-        exchange->outcome = field<std::string>(event, "outcome", {});
-    const auto text = field<std::string>(event, "text", {});
+    const Json problem = event.contains("error") ? event["error"] : event;
+    if (problem.is_object() && problem.contains("outcome"))
+        exchange->outcome = field<std::string>(problem, "outcome", {});
+    const Json choices = event.value("choices", Json::array());
+    if (!choices.is_array() || choices.empty())
+        return;
+    const auto text = field<std::string>(choices.front(), "text", {});
     if (text.empty())
         return;
     const std::string& rank = exchange->workload->rank;
--- a/standins/tests/CallerTest.cpp
+++ b/standins/tests/CallerTest.cpp
@@ -79,7 +79,7 @@
             reply.begin(200, { { "content-type", "text/event-stream" } });
             reply.write(": keep-alive\n\n");
             for (const std::string& token : tokens)
-                reply.write(event({ { "text", token } }));
+                reply.write(event({ { "choices", Json::array({ { { "text", token } } }) } }));
             reply.write(event({ { "outcome", "completed" } }));
             reply.finish();
         });
