--- a/packages/core/fuchsialb/src/Config/InputError.cpp
+++ b/packages/core/fuchsialb/src/Config/InputError.cpp
@@ -33,7 +33,7 @@
 std::string describe(const InputError& error)
 {
     return fmt::format("{}:{}:{}: read '{}', accepted is {} [{}]", error.file, error.line, error.column,
-        printable(error.read, maxReadLength), printable(error.accepted, std::string::npos), reasonName(error.reason));
+        printable(error.read, maxReadLength), error.accepted, reasonName(error.reason));
 }
 
 InputErrors::InputErrors(std::string file, Reason reason)
--- a/packages/core/fuchsialb/src/Config/InputError.h
+++ b/packages/core/fuchsialb/src/Config/InputError.h
@@ -35,7 +35,8 @@
     bool operator==(const InputError&) const = default;
 };
 
-/// \return "file:line:column: read '...', accepted is ... [reason]" on one line, with control characters escaped.
+/// \return "file:line:column: read '...', accepted is ... [reason]" on one line, with control characters of what was
+/// read escaped.
 std::string describe(const InputError& error);
 
 /// \return `text` with control characters, quotes and backslashes escaped, cut off after `maxLength` characters.
