Test the bound on runners in a group

Cause: the bound of 16 runners had no test. Change: a case with 20 runners in one group. After: core.ConfigurationBuilderTest passes. Conclusion: the bound that route planning relies on is checked.

--- a/packages/core/tests/ConfigurationBuilderTest.cpp
+++ b/packages/core/tests/ConfigurationBuilderTest.cpp
@@ -102,6 +102,23 @@
     CHECK(*decoded == c);
 }
 
+// Guards against a group whose route planning takes too long.
+TEST_CASE("A group has at most 16 runners")
+{
+    std::string text = largeInventory(20);
+    for (std::size_t at = text.find(",group-"); at != std::string::npos; at = text.find(",group-", at + 1))
+        text.replace(at, 8, ",group-0");
+    for (std::size_t at = text.find(",dc-"); at != std::string::npos; at = text.find(",dc-", at + 1))
+        text.replace(at, 5, ",dc-0");
+    const auto entries = InventoryParser::parse(text, "i.csv");
+    const auto values = RulesParser::parse(rules, "r.yaml");
+    REQUIRE(entries.ok());
+    const auto built = buildConfiguration(*entries.value, *values.value);
+    REQUIRE(built.errors.size() == 1);
+    CHECK(built.errors[0].read == "group-0 (20 runners)");
+    CHECK(built.errors[0].accepted == "at most 16 runners in a group");
+}
+
 // Guards against an operator who is not shown a change, or is shown one that is none.
 TEST_CASE("A diff lists what differs with old and new values")
 {
