--- a/packages/core/fuchsialb/src/Control/ConfigurationSpread.h
+++ b/packages/core/fuchsialb/src/Control/ConfigurationSpread.h
@@ -91,7 +91,7 @@
     /// is also read at this interval.
     Duration readPeriod { std::chrono::seconds(2) };
     Duration takeOverAfter { std::chrono::seconds(3) };
-    Bytes chunk { 64 * 1024 };
+    Bytes chunk { 65'536 };
     Duration pullTimeout { std::chrono::milliseconds(500) };
     /// Codec: `decodeConfiguration`, `decodeHead` and `chunkKey`. All three must be set.
     std::function<absl::StatusOr<Configuration>(std::string_view)> decode;
--- a/packages/core/fuchsialb/src/Control/OrderLane.cpp
+++ b/packages/core/fuchsialb/src/Control/OrderLane.cpp
@@ -6,10 +6,10 @@
 namespace fuchsialb::internal {
 
 OrderLane::OrderLane(const std::string& owner, EndpointId endpoint, bool checksFencing, const OrderOptions& options)
-    : m_endpoint(endpoint)
+    : m_endpoint(std::move(endpoint))
     , m_checksFencing(checksFencing)
     , m_options(options)
-    , m_ownership(owner, std::move(endpoint), options)
+    , m_ownership(owner, m_endpoint, options)
 {
 }
 
--- a/packages/core/fuchsialb/src/Control/OrderOwnership.cpp
+++ b/packages/core/fuchsialb/src/Control/OrderOwnership.cpp
@@ -5,7 +5,7 @@
 
 namespace fuchsialb::internal {
 
-OrderOwnership::OrderOwnership(std::string owner, EndpointId endpoint, const OrderOptions& options)
+OrderOwnership::OrderOwnership(std::string owner, const EndpointId& endpoint, const OrderOptions& options)
     : m_owner(std::move(owner))
     , m_key("orders/" + endpoint.value())
     , m_options(options)
--- a/packages/core/fuchsialb/src/Control/OrderOwnership.h
+++ b/packages/core/fuchsialb/src/Control/OrderOwnership.h
@@ -15,7 +15,7 @@
 class OrderOwnership {
 public:
     /// \param owner Host and incarnation; never empty.
-    OrderOwnership(std::string owner, EndpointId endpoint, const OrderOptions& options);
+    OrderOwnership(std::string owner, const EndpointId& endpoint, const OrderOptions& options);
 
     /// \return The next store operation towards owning the endpoint for at least `needed` from now, if one is due.
     std::optional<OrderOperation> acquire(TimePoint now, Duration needed, StoreOperationId operation);
--- a/packages/core/fuchsialb/src/Control/VersionHolder.h
+++ b/packages/core/fuchsialb/src/Control/VersionHolder.h
@@ -50,6 +50,8 @@
 
     /// \return The version in force, or null.
     std::shared_ptr<const Version> inForce() const { return m_inForce; }
+    /// \return The bytes of the encoding that is being assembled.
+    std::string_view partialBytes() const { return m_partial ? m_partial->bytes : std::string_view(); }
     /// \return 0 before the first.
     ConfigurationVersion number() const;
 
--- a/packages/core/fuchsialb/src/Member/BridgeLinks.cpp
+++ b/packages/core/fuchsialb/src/Member/BridgeLinks.cpp
@@ -35,6 +35,12 @@
         listed = inBridgeOrder(listed);
 }
 
+bool BridgeLinks::asked(const DataCentreId& dataCentre, TimePoint now) const
+{
+    const auto known = m_asked.find(dataCentre);
+    return known != m_asked.end() && now - known->second <= m_silenceLimit;
+}
+
 std::vector<std::pair<DataCentreId, RemoteHost>> BridgeLinks::nextRound(
     const std::map<DataCentreId, std::vector<RemoteHost>>& known, TimePoint now)
 {
--- a/packages/core/fuchsialb/src/Member/BridgeLinks.h
+++ b/packages/core/fuchsialb/src/Member/BridgeLinks.h
@@ -27,6 +27,10 @@
 
     void setListed(const std::vector<ListedHost>& hosts, const DataCentreId& own);
     void heard(const DataCentreId& dataCentre, TimePoint now) { m_heard[dataCentre] = now; }
+    /// Notes that a bridge of `dataCentre` started an exchange.
+    void noteAsked(const DataCentreId& dataCentre, TimePoint now) { m_asked[dataCentre] = now; }
+    /// \return Whether the other side started an exchange in the last 3 periods.
+    bool asked(const DataCentreId& dataCentre, TimePoint now) const;
     /// \param known Bridges of other data centres by data centre.
     /// \return One host for each other data centre.
     std::vector<std::pair<DataCentreId, RemoteHost>> nextRound(
@@ -36,6 +40,7 @@
     Duration m_silenceLimit;
     std::map<DataCentreId, std::vector<RemoteHost>> m_listed;
     std::map<DataCentreId, TimePoint> m_heard;
+    std::map<DataCentreId, TimePoint> m_asked;
     std::size_t m_round = 0;
 };
 
--- a/packages/core/fuchsialb/src/Member/Membership.h
+++ b/packages/core/fuchsialb/src/Member/Membership.h
@@ -58,7 +58,8 @@
     HostId subject;
     /// Asks for all members that the receiver knows instead of the recent updates.
     bool fullState = false;
-    /// How often receivers pass loads and remote `members` on within the data centre.
+    /// How often loads, news and remote `members` are passed on within the data centre: 2 by the receiver to one relay
+    /// in each row, 1 by the receiver to its row.
     std::uint32_t hops = 0;
     /// At most 4, newest first.
     std::vector<StoreNews> storeNews;
@@ -97,10 +98,12 @@
     std::uint32_t maxUpdatesPerMessage = 8;
     Duration loadPeriod { std::chrono::seconds(1) };
     /// How long a relay collects loads before it passes them on.
-    Duration relayDelay { std::chrono::milliseconds(500) };
+    Duration relayDelay { std::chrono::seconds(1) };
+    /// The same when news of the store is among them, which must stay under 3 s old.
+    Duration newsDelay { std::chrono::milliseconds(500) };
     Duration bridgePeriod { std::chrono::seconds(2) };
-    /// Period of group loads and bridges of other data centres; 15 s keeps a bridge within its 15 KB/s.
-    Duration remotePeriod { std::chrono::seconds(15) };
+    /// Period of group loads and bridges of other data centres.
+    Duration remotePeriod { std::chrono::seconds(30) };
     /// Outlives the gossip about a dead member by far; a data centre loses about 10 hosts an hour.
     Duration rememberDead { std::chrono::hours(1) };
 };
--- a/packages/core/fuchsialb/src/Member/RelayGrid.h
+++ b/packages/core/fuchsialb/src/Member/RelayGrid.h
@@ -22,10 +22,10 @@
 
 /// \brief The two-step path by which one member reaches all n members of its data centre.
 ///
-/// Members are dealt into about sqrt(n) rows. A sender hands an item to one relay in each row, chosen by rendezvous on
-/// the item's key; the relay collects items and passes them to its row. With n = 155 and 40 groups a scheduler sends
-/// 13 messages a second and a relay 12 for each flush, where sending to each member directly would cost one scheduler
-/// 154 * 120 B = 18 KB/s. A dead relay keeps one row without part of the items until it is suspected.
+/// Members are dealt into about sqrt(n) rows. A sender hands its items to one relay in each row, chosen by rendezvous
+/// on the sender's id; the relay collects items and passes them to its row. With n = 155 and 40 groups a scheduler
+/// sends 13 messages a second and a relay 12 for each flush, where sending to each member directly would cost one
+/// scheduler 154 * 120 B = 18 KB/s. A dead relay keeps one row without part of the items until it is suspected.
 class RelayGrid {
 public:
     /// Takes the current members of the data centre, ordered, the own one included.
--- a/packages/core/fuchsialb/src/Member/SwimMembership.cpp
+++ b/packages/core/fuchsialb/src/Member/SwimMembership.cpp
@@ -44,7 +44,7 @@
         m_nextProbe = within(options.probePeriod);
         m_nextAdvertisement = within(options.loadPeriod);
         m_nextCandidate = now;
-        m_nextSynchronisation = within(options.remotePeriod);
+        m_nextSynchronisation = within(options.remotePeriod * 10);
         m_nextBridge = within(options.bridgePeriod);
         m_nextRemote = within(options.remotePeriod);
     }
@@ -138,7 +138,8 @@
         const bool isNew = m_table.merge(update, m_clock.now());
         if (fromRemote) {
             m_remote.members[update.host] = update;
-            m_remoteChanged = m_remoteChanged || isNew;
+            if (isNew)
+                m_remoteChanged[update.host] = update;
         }
     }
 
@@ -169,9 +170,12 @@
         ProbeReply answer { probe.sequence, m_self.host, newsToSend(), m_self.configuration, {}, {} };
         const bool remote = std::any_of(probe.members.begin(), probe.members.end(),
             [&](const Member& member) { return member.host == from && member.dataCentre != m_self.dataCentre; });
-        if (remote)
+        if (remote) {
+            const DataCentreId& theirs = probe.members.front().dataCentre;
             answer.members = bridges();
-        else
+            answer.loads = loadsFor(theirs);
+            m_bridgeLinks.noteAsked(theirs, m_clock.now());
+        } else
             answer.members = probe.fullState ? fullState() : piggyback(from);
         const auto sender = std::find_if(
             probe.members.begin(), probe.members.end(), [&](const Member& member) { return member.host == from; });
--- a/packages/core/fuchsialb/src/Member/SwimMembership.h
+++ b/packages/core/fuchsialb/src/Member/SwimMembership.h
@@ -19,12 +19,13 @@
 /// Control traffic of one daemon, sent and received, at 155 members, 40 own of 417 groups and 11 data centres, with
 /// 75 B for an envelope, 55 B for a member and 36 B for a load:
 /// - probes: 2 probes and 2 replies a second of about 160 B: 0.6 KB/s;
-/// - own loads of a scheduler: 13 relays * 125 B: 1.6 KB/s; as a relay: 40 / 12.4 loads a second in, and up to
-///   2 flushes * 12 row members * 140 B out and as many in: 7 KB/s;
-/// - a bridge: 10 exchanges each 2 s, sent and received, of 2 * 200 B: 4 KB/s; its half of the 377 remote loads each
-///   15 s to 13 relays: 377 / 2 * 36 * 13 / 15 = 5.9 KB/s.
-/// That is about 9 KB/s for a scheduler and under 15 KB/s for a bridge that schedules no group.
-/// MembershipMeasureTest measures it.
+/// - own loads of a scheduler: 13 relays * 130 B: 1.7 KB/s; as a relay: 40 / 12.4 loads a second in, one
+///   flush of 12 row members * 200 B out and as many in: 5 KB/s;
+/// - remote loads: 377 each 30 s, in and as a relay out, 0.5 KB/s each;
+/// - a bridge: 10 exchanges each second, half of them sent, of 2 * 250 B: 2.5 KB/s; half of the remote loads each 30 s
+///   to one distributor each: 0.5 KB/s.
+/// Sending the remote loads from the bridge to all 13 relays would cost it 377 / 2 * 36 * 13 / 30 = 2.9 KB/s.
+/// MemberMeasureTest measures it.
 class SwimMembership final : public Membership {
 public:
     SwimMembership(Member self, MembershipOptions options, const Clock& clock, Random& random);
@@ -87,6 +88,7 @@
 
     // SwimMembershipTick.cpp: periodic work.
     void notePause(TimePoint now);
+    void expire(TimePoint now);
     void checkOutstanding(TimePoint now);
     void startProbe(TimePoint now);
     void probeIndirectly(const Outstanding& probe);
@@ -105,10 +107,14 @@
     void advertiseNews(TimePoint now);
     void flushRelay(TimePoint now);
     void toRelays(const RelayItems& items);
+    void toDistributors(const RelayItems& items);
+    static RelayItems itemsOf(const Probe& probe, const DataCentreId& local);
     void sendItems(const HostId& to, const RelayItems& items, std::uint32_t hops);
     void announceConfiguration();
     void exchangeWithBridges(TimePoint now);
     void spreadRemote(TimePoint now);
+    /// \return The loads of this data centre when this bridge owes them to `dataCentre`.
+    std::vector<GroupLoad> loadsFor(const DataCentreId& dataCentre);
     std::vector<Member> bridges() const;
     bool isBridge() const;
     /// \return Whether `host` is a known member of this data centre.
@@ -153,10 +159,12 @@
     std::optional<TimePoint> m_relayDue;
     std::uint64_t m_gridRevision = 0;
 
+    TimePoint m_nextExpiry;
     TimePoint m_nextBridge;
+    bool m_bridgesUrgent = false;
     TimePoint m_nextRemote;
     RelayItems m_remote;
-    bool m_remoteChanged = false;
+    std::map<HostId, Member> m_remoteChanged;
     std::map<DataCentreId, TimePoint> m_loadsSent;
 
     mutable std::vector<Member> m_view;
--- a/packages/core/fuchsialb/src/Member/SwimMembershipSpread.cpp
+++ b/packages/core/fuchsialb/src/Member/SwimMembershipSpread.cpp
@@ -1,5 +1,7 @@
 #include "SwimMembership.h"
 
+#include "../Base/Hash.h"
+
 #include <algorithm>
 #include <limits>
 #include <utility>
@@ -9,11 +11,10 @@
 namespace {
 
     constexpr std::string_view bridgeWord = "bridge";
-    constexpr std::string_view newsKey = "store-news";
     constexpr std::string_view configurationKey = "configuration";
     constexpr std::size_t bridgeCount = 2;
-    /// News of both regular watchers.
-    constexpr std::size_t newsPerProbe = 2;
+    /// The rows get the news of all watchers, so that probes need only the newest.
+    constexpr std::size_t newsPerProbe = 1;
 
 } // namespace
 
@@ -45,21 +46,42 @@
     return m_news.latest(m_clock.now(), std::numeric_limits<std::size_t>::max());
 }
 
-void SwimMembership::relay(const Probe& probe)
+RelayItems SwimMembership::itemsOf(const Probe& probe, const DataCentreId& local)
 {
+    RelayItems items;
     for (const GroupLoad& load : probe.loads)
-        m_relay.loads[load.group] = load;
+        items.loads[load.group] = load;
     for (const GroupLoad& load : probe.remoteLoads)
-        m_relay.remoteLoads[load.group] = load;
+        items.remoteLoads[load.group] = load;
     for (const Member& member : probe.members) {
-        if (member.dataCentre != m_self.dataCentre)
-            m_relay.members[member.host] = member;
+        if (member.dataCentre != local)
+            items.members[member.host] = member;
+    }
+    return items;
+}
+
+void SwimMembership::relay(const Probe& probe)
+{
+    RelayItems items = itemsOf(probe, m_self.dataCentre);
+    if (probe.hops > 1) {
+        toRelays(items);
+        return;
     }
-    if (!m_relayDue && !m_relay.empty())
-        m_relayDue = m_clock.now() + m_options.relayDelay;
-    // A change of state of another data centre's bridge, such as leaving, doesn't wait for the loads.
-    if (!m_relay.members.empty())
-        m_relayDue = m_clock.now();
+    // A changed state of another data centre's bridge, such as leaving, doesn't wait for the loads.
+    const bool urgent = std::any_of(items.members.begin(), items.members.end(),
+        [](const auto& item) { return item.second.state != MemberState::Alive; });
+    for (auto& [group, load] : items.loads)
+        m_relay.loads[group] = std::move(load);
+    for (auto& [group, load] : items.remoteLoads)
+        m_relay.remoteLoads[group] = std::move(load);
+    for (auto& [host, member] : items.members)
+        m_relay.members[host] = std::move(member);
+    if (m_relay.empty())
+        return;
+    const TimePoint now = m_clock.now();
+    const Duration delay = m_relay.news.empty() ? m_options.relayDelay : m_options.newsDelay;
+    const TimePoint due = urgent ? now : now + delay;
+    m_relayDue = m_relayDue ? std::min(*m_relayDue, due) : due;
 }
 
 void SwimMembership::flushRelay(TimePoint now)
@@ -92,40 +114,45 @@
 
 void SwimMembership::toRelays(const RelayItems& items)
 {
-    std::map<HostId, RelayItems> batches;
-    for (const auto& [group, load] : items.loads) {
-        for (const HostId& host : m_grid.relays(group.value()))
-            batches[host].loads[group] = load;
-    }
-    for (const auto& [group, load] : items.remoteLoads) {
-        for (const HostId& host : m_grid.relays(group.value()))
-            batches[host].remoteLoads[group] = load;
-    }
-    for (const auto& [id, member] : items.members) {
-        for (const HostId& host : m_grid.relays(configurationKey))
-            batches[host].members[id] = member;
-    }
-    for (const HostId& watcher : items.news) {
-        for (const HostId& host : m_grid.relays(newsKey))
-            batches[host].news.insert(watcher);
-    }
-    for (const auto& [host, batch] : batches) {
+    // One relay in each row for all items of this host: a message each, whatever the number of groups.
+    for (const HostId& host : m_grid.relays(m_self.host.value())) {
         if (host != m_self.host) {
-            sendItems(host, batch, 1);
+            sendItems(host, items, 1);
             continue;
         }
         Probe own;
-        m_relay.news.insert(batch.news.begin(), batch.news.end());
-        for (const auto& [id, member] : batch.members)
+        own.hops = 1;
+        for (const auto& [id, member] : items.members)
             own.members.push_back(member);
-        for (const auto& [group, load] : batch.loads)
+        for (const auto& [group, load] : items.loads)
             own.loads.push_back(load);
-        for (const auto& [group, load] : batch.remoteLoads)
+        for (const auto& [group, load] : items.remoteLoads)
             own.remoteLoads.push_back(load);
+        m_relay.news.insert(items.news.begin(), items.news.end());
         relay(own);
     }
 }
 
+void SwimMembership::toDistributors(const RelayItems& items)
+{
+    const std::vector<HostId> local = accepting(m_self.dataCentre);
+    std::map<HostId, RelayItems> batches;
+    for (const auto& [group, load] : items.remoteLoads) {
+        for (const HostId& host : rendezvous(group.value(), local, 1))
+            batches[host].remoteLoads[group] = load;
+    }
+    for (const auto& [id, member] : items.members) {
+        for (const HostId& host : rendezvous(id.value(), local, 1))
+            batches[host].members[id] = member;
+    }
+    for (const auto& [host, batch] : batches) {
+        if (host == m_self.host)
+            toRelays(batch);
+        else
+            sendItems(host, batch, 2);
+    }
+}
+
 void SwimMembership::advertise(TimePoint now)
 {
     if (now < m_nextAdvertisement)
@@ -162,6 +189,7 @@
         sendItems(host, {}, 0);
     // The other data centres learn of it with the next tick.
     m_nextBridge = m_clock.now();
+    m_bridgesUrgent = true;
 }
 
 std::vector<Member> SwimMembership::bridges() const
@@ -187,11 +215,30 @@
     return known && known->member.dataCentre == m_self.dataCentre;
 }
 
+std::vector<GroupLoad> SwimMembership::loadsFor(const DataCentreId& dataCentre)
+{
+    const std::vector<Member> own = bridges();
+    const auto position
+        = std::find_if(own.begin(), own.end(), [&](const Member& member) { return member.host == m_self.host; });
+    if (position == own.end())
+        return {};
+    // The bridges share the other data centres, so that each gets the loads from one of them.
+    const auto share = static_cast<std::size_t>(position - own.begin());
+    const TimePoint now = m_clock.now();
+    const auto sent = m_loadsSent.find(dataCentre);
+    const bool due = sent == m_loadsSent.end() || now - sent->second >= m_options.remotePeriod;
+    if (!due || hash64(dataCentre.value()) % own.size() != share)
+        return {};
+    m_loadsSent[dataCentre] = now;
+    return m_loads.local();
+}
+
 void SwimMembership::exchangeWithBridges(TimePoint now)
 {
     if (now < m_nextBridge)
         return;
     m_nextBridge = now + m_options.bridgePeriod;
+    const bool urgent = std::exchange(m_bridgesUrgent, false);
     const std::vector<Member> own = bridges();
     const auto position
         = std::find_if(own.begin(), own.end(), [&](const Member& member) { return member.host == m_self.host; });
@@ -202,37 +249,33 @@
         if (entry.member.dataCentre != m_self.dataCentre)
             known[entry.member.dataCentre].push_back({ host, entry.member.address });
     }
-    std::size_t index = static_cast<std::size_t>(position - own.begin());
     for (const auto& [dataCentre, remote] : m_bridgeLinks.nextRound(known, now)) {
+        // Of two data centres the one with the lower id starts the exchange, while it does.
+        const bool theirTurn = dataCentre < m_self.dataCentre && m_bridgeLinks.asked(dataCentre, now);
+        if (theirTurn && !urgent)
+            continue;
         Probe probe;
         probe.sequence = ++m_sequence;
         probe.subject = remote.host;
         probe.storeNews = newsToSend();
         probe.configuration = m_self.configuration;
         probe.members = own;
-        // The bridges share the other data centres, so that each gets the loads from one of them.
-        TimePoint& sent = m_loadsSent[dataCentre];
-        if (index++ % own.size() == 0 && (sent == TimePoint() || now - sent >= m_options.remotePeriod)) {
-            sent = now;
-            probe.loads = m_loads.local();
-        }
+        probe.loads = loadsFor(dataCentre);
         sendTo(remote.host, remote.address, std::move(probe));
     }
 }
 
 void SwimMembership::spreadRemote(TimePoint now)
 {
-    if (!m_remoteChanged && now < m_nextRemote)
-        return;
-    RelayItems items;
-    items.members = m_remote.members;
-    if (now >= m_nextRemote) {
-        m_nextRemote = now + m_options.remotePeriod;
-        items = std::exchange(m_remote, {});
+    if (!m_remoteChanged.empty()) {
+        RelayItems changed;
+        changed.members = std::exchange(m_remoteChanged, {});
+        toRelays(changed);
     }
-    m_remoteChanged = false;
-    if (!items.empty())
-        toRelays(items);
+    if (now < m_nextRemote)
+        return;
+    m_nextRemote = now + m_options.remotePeriod;
+    toDistributors(std::exchange(m_remote, {}));
 }
 
 } // namespace fuchsialb::internal
--- a/packages/core/fuchsialb/src/Member/SwimMembershipTick.cpp
+++ b/packages/core/fuchsialb/src/Member/SwimMembershipTick.cpp
@@ -18,9 +18,11 @@
     constexpr Duration announceInterval = milliseconds(300);
     /// Period of contact with listed or dead hosts that are not members, which heals a partition.
     constexpr Duration candidatePeriod = seconds(2);
+    /// Walking through all members and loads at each tick would take most of the daemon's processor time.
+    constexpr Duration expiryPeriod = milliseconds(200);
     constexpr Duration joinPeriod = milliseconds(500);
-    /// Period of a full exchange with a random member; about 0.3 KB/s at 155 members.
-    constexpr Duration synchronisePeriod = seconds(60);
+    /// Period of a full exchange with a random member, in case an update was lost to all; 0.15 KB/s at 155 members.
+    constexpr Duration synchronisePeriod = std::chrono::minutes(5);
 
 } // namespace
 
@@ -28,12 +30,7 @@
 {
     const TimePoint now = m_clock.now();
     notePause(now);
-    for (Member& died : m_table.expire(now)) {
-        if (died.dataCentre == m_self.dataCentre)
-            spread(died);
-    }
-    m_loads.expire(now);
-    std::erase_if(m_onBehalf, [now](const auto& item) { return item.second.until <= now; });
+    expire(now);
     checkOutstanding(now);
     startProbe(now);
     continueAnnouncement(now);
@@ -47,6 +44,19 @@
     spreadRemote(now);
 }
 
+void SwimMembership::expire(TimePoint now)
+{
+    if (now < m_nextExpiry)
+        return;
+    m_nextExpiry = now + expiryPeriod;
+    for (Member& died : m_table.expire(now)) {
+        if (died.dataCentre == m_self.dataCentre)
+            spread(died);
+    }
+    m_loads.expire(now);
+    std::erase_if(m_onBehalf, [now](const auto& item) { return item.second.until <= now; });
+}
+
 void SwimMembership::notePause(TimePoint now)
 {
     const Duration gap = now - std::exchange(m_lastTick, now);
