--- /dev/null
+++ b/bench/fuchsialb/src/Bench/Workload.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "fuchsialb/Base.h"
+#include "fuchsialb/Config.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace fuchsialb::bench {
+
+/// \brief A kind of request that arrives over a span of time.
+struct Stream {
+    std::string name;
+    Rank rank = Rank::Urgent;
+    OrganisationId organisation;
+    /// Requests/s; 0 when `load` is given instead.
+    double rate = 0;
+    /// Multiple of the group's hardware bound.
+    double load = 0;
+    std::uint32_t promptTokens = 0;
+    std::uint32_t answerTokens = 1;
+    /// Leading prompt tokens that all requests of the stream share.
+    std::uint32_t sharedPrefix = 0;
+    /// Arrivals only within [begin, end) of the replay.
+    Duration begin { 0 };
+    Duration end { 0 };
+    /// Repeats the span [begin, end) with this period; 0 for once.
+    Duration burstInterval { 0 };
+};
+
+/// \brief A change of a runner's health at a moment of the replay.
+struct Fault {
+    enum class Kind : unsigned char {
+        Dies,
+        Returns,
+        Slows,
+    };
+    Duration at { 0 };
+    EndpointId runner;
+    Kind kind = Kind::Dies;
+    /// Multiple of the step time, for `Slows`.
+    double factor = 1;
+};
+
+/// \brief A stated outcome: a metric and the bound that the target sets for it.
+struct StatedOutcome {
+    std::string metric;
+    std::string target;
+    std::optional<double> least;
+    std::optional<double> most;
+};
+
+/// \brief All that one replay needs.
+struct Workload {
+    std::string name;
+    std::uint64_t seed = 1;
+    Duration duration { 0 };
+    /// Requests and tokens before this moment are not measured.
+    Duration warmUp { 0 };
+    /// Time after the last arrival in which running work may end.
+    Duration drain { 0 };
+    Duration reportInterval { 0 };
+    Duration reportLag { 0 };
+    Configuration configuration;
+    std::vector<Stream> streams;
+    std::vector<Fault> faults;
+    std::vector<StatedOutcome> outcomes;
+};
+
+/// \return The name of the group, the model and the data centre of each workload.
+inline GroupId replayGroup() { return GroupId("replay"); }
+inline TargetId replayModel() { return TargetId("model"); }
+
+} // namespace fuchsialb::bench
