--- a/bench/fuchsialb/src/Bench/EngineFakes.cpp
+++ b/bench/fuchsialb/src/Bench/EngineFakes.cpp
@@ -35,6 +35,7 @@
         Runner& runner = m_runners[id];
         runner.endpoint = &endpoint;
         runner.kind = workload.configuration.acceleratorKinds.at(endpoint.acceleratorKind);
+        m_ranges[endpoint.layers].push_back(&runner);
     }
     m_timeline.after(m_workload.reportInterval, [this] { report(); });
 }
@@ -58,7 +59,7 @@
     if (fits(run))
         admit(active);
     else
-        m_waiting.push_back(run.request);
+        m_waiting.emplace(run.serial, run.request);
 }
 
 EngineFakes::Active* EngineFakes::find(const EngineRun& run)
@@ -83,10 +84,18 @@
     scheduleToken(active.run, firstPass(active.run));
 }
 
+bool EngineFakes::hasRoom() const
+{
+    return std::all_of(m_ranges.begin(), m_ranges.end(), [](const auto& range) {
+        return std::any_of(range.second.begin(), range.second.end(),
+            [](const Runner* runner) { return runner->held < runner->endpoint->maxConcurrency; });
+    });
+}
+
 void EngineFakes::admitWaiting()
 {
-    for (auto at = m_waiting.begin(); at != m_waiting.end();) {
-        Active& active = m_runs.at(*at);
+    for (auto at = m_waiting.begin(); at != m_waiting.end() && hasRoom();) {
+        Active& active = m_runs.at(at->second);
         if (!fits(active.run)) {
             ++at;
             continue;
@@ -160,8 +169,9 @@
         scheduleToken(copy, pass(copy));
     }
     m_hooks.onToken(copy, position);
-    if (last)
-        m_hooks.onFinished(copy);
+    if (!last)
+        return;
+    m_hooks.onFinished(copy);
     admitWaiting();
 }
 
@@ -174,7 +184,7 @@
         for (const EndpointId& id : found->second.run.route)
             --m_runners.at(id).held;
     } else {
-        m_waiting.remove(request);
+        m_waiting.erase(found->second.run.serial);
     }
     m_runs.erase(found);
 }
--- a/bench/fuchsialb/src/Bench/EngineFakes.h
+++ b/bench/fuchsialb/src/Bench/EngineFakes.h
@@ -5,7 +5,6 @@
 
 #include "fuchsialb/Sched.h"
 
-#include <list>
 #include <set>
 #include <string_view>
 
@@ -82,6 +81,7 @@
     Active* find(const EngineRun& run);
     bool fits(const EngineRun& run) const;
     void admit(Active& active);
+    bool hasRoom() const;
     void admitWaiting();
     Duration firstPass(const EngineRun& run);
     Duration pass(const EngineRun& run) const;
@@ -97,8 +97,10 @@
     Timeline& m_timeline;
     EngineHooks m_hooks;
     std::map<EndpointId, Runner> m_runners;
+    std::map<LayerRange, std::vector<const Runner*>> m_ranges;
     std::map<RequestId, Active> m_runs;
-    std::list<RequestId> m_waiting;
+    /// By serial, which is the order of arrival.
+    std::map<std::uint64_t, RequestId> m_waiting;
     std::uint64_t m_serials = 0;
 };
 
--- a/bench/fuchsialb/src/Bench/RecoveryTime.cpp
+++ b/bench/fuchsialb/src/Bench/RecoveryTime.cpp
@@ -7,8 +7,9 @@
 namespace {
 
     constexpr double recoveredFraction = 0.95;
-    /// Long enough that the noise of arrivals stays below the tolerated 5%.
-    constexpr Duration window = std::chrono::seconds(1);
+    /// Throughput counts as back when both spans reach it: the short one shows the moment, the long one that it lasts.
+    constexpr Duration shortSpan = std::chrono::milliseconds(250);
+    constexpr Duration longSpan = std::chrono::seconds(1);
     constexpr Duration resolution = std::chrono::milliseconds(50);
 
     std::set<EndpointId> deadAfter(const std::vector<Fault>& faults, const Fault& last)
@@ -63,15 +64,17 @@
     {
         const HardwareBound bound(workload.configuration, deadAfter(workload.faults, fault));
         const WorkCurve curve(workload, records, bound);
-        const double seconds = std::chrono::duration<double>(window).count();
         // Requested over the whole replay up to the fault, because a single second of arrivals is noisy.
         const double before = std::chrono::duration<double>(fault.at - workload.warmUp).count();
         const double requested = before > 0 ? curve.requested(workload.warmUp, fault.at) / before : 1.0;
-        const double wanted = recoveredFraction * std::min(1.0, requested) * seconds;
+        const double wanted = recoveredFraction * std::min(1.0, requested);
         Duration at = fault.at;
-        while (at + window <= workload.duration && curve.delivered(at, at + window) < wanted)
+        const auto back = [&](Duration span) {
+            return curve.delivered(at, at + span) >= wanted * std::chrono::duration<double>(span).count();
+        };
+        while (at + longSpan <= workload.duration && !(back(shortSpan) && back(longSpan)))
             at += resolution;
-        return at + window <= workload.duration ? at - fault.at : workload.duration - fault.at;
+        return at + longSpan <= workload.duration ? at - fault.at : workload.duration - fault.at;
     }
 
 } // namespace
