Vary the lengths of replayed requests

With equal answer lengths, requests that start together also end together, and the prefills of their successors queue.

--- a/bench/fuchsialb/src/Bench/Arrivals.cpp
+++ b/bench/fuchsialb/src/Bench/Arrivals.cpp
@@ -20,16 +20,23 @@
         return result;
     }
 
+    std::uint32_t drawLength(std::uint32_t mean, double spread, Random& random)
+    {
+        return static_cast<std::uint32_t>(std::lround(mean * (1 + spread * (2 * random.unit() - 1))));
+    }
+
     Request makeRequest(const Stream& stream, Random& random)
     {
         Request request;
         request.organisation = stream.organisation;
         request.rank = stream.rank;
         request.target = replayModel();
-        request.promptTokens = stream.promptTokens;
-        request.maxTokens = stream.answerTokens;
-        request.prompt = text("shared " + stream.name + ' ', stream.sharedPrefix)
-            + text(fmt::format("{:x} ", random.next()), stream.promptTokens - stream.sharedPrefix);
+        // Only the part behind the shared prefix varies, so that the mean stays as stated.
+        const std::uint32_t own = drawLength(stream.promptTokens - stream.sharedPrefix, stream.lengthSpread, random);
+        request.promptTokens = stream.sharedPrefix + own;
+        request.maxTokens = std::max(1U, drawLength(stream.answerTokens, stream.lengthSpread, random));
+        request.prompt
+            = text("shared " + stream.name + ' ', stream.sharedPrefix) + text(fmt::format("{:x} ", random.next()), own);
         return request;
     }
 
--- a/bench/fuchsialb/src/Bench/Measures.cpp
+++ b/bench/fuchsialb/src/Bench/Measures.cpp
@@ -110,7 +110,7 @@
     void Tally::addArrived(const CallRecord& record, bool within, const std::vector<double>& gaps)
     {
         const Stream& stream = m_workload.streams[record.stream];
-        const double work = m_tokenWork[record.stream] * stream.answerTokens;
+        const double work = m_tokenWork[record.stream] * record.requestedTokens;
         const bool refused = record.ended && record.result.outcome == Outcome::NotRun;
         RankSums& rank = m_ranks[stream.rank];
         ++rank.offered;
--- a/bench/fuchsialb/src/Bench/RecoveryTime.cpp
+++ b/bench/fuchsialb/src/Bench/RecoveryTime.cpp
@@ -34,7 +34,7 @@
             for (const CallRecord& record : records) {
                 const Stream& stream = workload.streams[record.stream];
                 const double each = bound.secondsPerToken(stream);
-                m_requested.emplace_back(record.arrivedAt, each * stream.answerTokens);
+                m_requested.emplace_back(record.arrivedAt, each * record.requestedTokens);
                 for (Duration at : record.tokens)
                     m_delivered.emplace_back(at, each);
             }
--- a/bench/fuchsialb/src/Bench/Replay.cpp
+++ b/bench/fuchsialb/src/Bench/Replay.cpp
@@ -45,6 +45,7 @@
     for (std::size_t i = 0; i < arrivals.size(); ++i) {
         records[i].stream = arrivals[i].stream;
         records[i].arrivedAt = arrivals[i].at;
+        records[i].requestedTokens = arrivals[i].request.maxTokens;
         timeline.after(arrivals[i].at, [&, i] { subject->submit(arrivals[i].request, arrivals[i].stream); });
     }
     for (const Fault& fault : workload.faults)
--- a/bench/fuchsialb/src/Bench/Replay.h
+++ b/bench/fuchsialb/src/Bench/Replay.h
@@ -9,6 +9,7 @@
 struct CallRecord {
     std::size_t stream = 0;
     Duration arrivedAt { 0 };
+    std::uint32_t requestedTokens = 0;
     /// Moments of the tokens, in order.
     std::vector<Duration> tokens;
     bool ended = false;
--- a/bench/fuchsialb/src/Bench/Workload.h
+++ b/bench/fuchsialb/src/Bench/Workload.h
@@ -18,8 +18,11 @@
     double rate = 0;
     /// Multiple of the group's hardware bound.
     double load = 0;
+    /// Means of the lengths.
     std::uint32_t promptTokens = 0;
     std::uint32_t answerTokens = 1;
+    /// Lengths are uniform within this fraction of their mean.
+    double lengthSpread = 0;
     /// Leading prompt tokens that all requests of the stream share.
     std::uint32_t sharedPrefix = 0;
     /// Arrivals only within [begin, end) of the replay.
--- a/bench/fuchsialb/src/Bench/WorkloadReader.cpp
+++ b/bench/fuchsialb/src/Bench/WorkloadReader.cpp
@@ -101,7 +101,9 @@
         stream.promptTokens = json.at("prompt_tokens").get<std::uint32_t>();
         stream.answerTokens = json.at("answer_tokens").get<std::uint32_t>();
         stream.sharedPrefix = json.value("shared_prefix", 0U);
-        if (stream.answerTokens == 0 || stream.sharedPrefix > stream.promptTokens)
+        stream.lengthSpread = json.value("length_spread", 0.0);
+        if (stream.answerTokens == 0 || stream.sharedPrefix > stream.promptTokens || stream.lengthSpread < 0
+            || stream.lengthSpread >= 1)
             throw std::invalid_argument("stream " + stream.name + " has wrong lengths");
         stream.begin = milliseconds(json.value("begin_ms", 0.0));
         stream.end = json.contains("end_ms") ? milliseconds(json["end_ms"].get<double>()) : workload.duration;
