--- a/bench/fuchsialb/src/Bench/EngineFakes.cpp
+++ b/bench/fuchsialb/src/Bench/EngineFakes.cpp
@@ -76,6 +76,12 @@
     });
 }
 
+bool EngineFakes::stuck(const EngineRun& run) const
+{
+    return std::any_of(
+        run.route.begin(), run.route.end(), [this](const EndpointId& id) { return m_runners.at(id).hung; });
+}
+
 void EngineFakes::admit(Active& active)
 {
     active.phase = Phase::Running;
@@ -153,7 +159,7 @@
 void EngineFakes::token(const EngineRun& started)
 {
     Active* active = find(started);
-    if (!active)
+    if (!active || stuck(started))
         return;
     EngineRun& run = active->run;
     const std::uint32_t position = run.position++;
@@ -220,7 +226,7 @@
     const double compute = replay ? successor.prefillSeconds(positions) : 0.0;
     const Duration delay = held ? fromSeconds(hopSeconds(bytes) + compute) : failureNotice;
     m_timeline.after(delay, [this, request, from, to, positions, held, done = std::move(done)] {
-        const bool moved = held && !m_runners.at(from).dead && !m_runners.at(to).dead;
+        const bool moved = held && !m_runners.at(from).dead && !m_runners.at(to).dead && !m_runners.at(to).hung;
         if (moved)
             m_runners.at(to).states[request] = positions;
         done(moved);
@@ -234,8 +240,12 @@
     case Fault::Kind::Dies:
         die(fault.runner);
         return;
+    case Fault::Kind::Hangs:
+        runner.hung = true;
+        return;
     case Fault::Kind::Returns:
         runner.dead = false;
+        runner.hung = false;
         runner.slowness = 1;
         return;
     case Fault::Kind::Slows:
@@ -266,7 +276,7 @@
 void EngineFakes::report()
 {
     for (const auto& [id, runner] : m_runners) {
-        if (runner.dead)
+        if (runner.dead || runner.hung)
             continue;
         const Duration step = runner.held > 0 ? fromSeconds(runner.stepSeconds()) : Duration(0);
         m_timeline.after(m_workload.reportLag,
--- a/bench/fuchsialb/src/Bench/EngineFakes.h
+++ b/bench/fuchsialb/src/Bench/EngineFakes.h
@@ -57,6 +57,7 @@
         const Endpoint* endpoint = nullptr;
         AcceleratorKind kind;
         bool dead = false;
+        bool hung = false;
         double slowness = 1;
         std::uint32_t held = 0;
         TimePoint prefillEnds {};
@@ -80,6 +81,7 @@
 
     Active* find(const EngineRun& run);
     bool fits(const EngineRun& run) const;
+    bool stuck(const EngineRun& run) const;
     void admit(Active& active);
     bool hasRoom() const;
     void admitWaiting();
--- a/bench/fuchsialb/src/Bench/Policy.cpp
+++ b/bench/fuchsialb/src/Bench/Policy.cpp
@@ -5,9 +5,9 @@
 
 const std::vector<std::string>& policyNames()
 {
-    static const std::vector<std::string> s_names { "fuchsialb", "round-robin", "least-outstanding", "two-choices",
+    static const std::vector<std::string> names { "fuchsialb", "round-robin", "least-outstanding", "two-choices",
         "fifo" };
-    return s_names;
+    return names;
 }
 
 absl::StatusOr<std::unique_ptr<Policy>> makePolicy(const std::string& name, PolicyContext context)
--- a/bench/fuchsialb/src/Bench/RecoveryTime.cpp
+++ b/bench/fuchsialb/src/Bench/RecoveryTime.cpp
@@ -12,13 +12,15 @@
     constexpr Duration longSpan = std::chrono::seconds(1);
     constexpr Duration resolution = std::chrono::milliseconds(50);
 
+    bool isLoss(const Fault& fault) { return fault.kind == Fault::Kind::Dies || fault.kind == Fault::Kind::Hangs; }
+
     std::set<EndpointId> deadAfter(const std::vector<Fault>& faults, const Fault& last)
     {
         std::set<EndpointId> dead;
         for (const Fault& fault : faults) {
             if (fault.at > last.at)
                 continue;
-            if (fault.kind == Fault::Kind::Dies)
+            if (isLoss(fault))
                 dead.insert(fault.runner);
             else if (fault.kind == Fault::Kind::Returns)
                 dead.erase(fault.runner);
@@ -83,7 +85,7 @@
 {
     std::optional<Duration> longest;
     for (const Fault& fault : workload.faults) {
-        if (fault.kind == Fault::Kind::Dies)
+        if (isLoss(fault))
             longest = std::max(longest.value_or(Duration(0)), timeAfter(workload, records, fault));
     }
     return longest;
--- a/bench/fuchsialb/src/Bench/ReplayCommand.cpp
+++ b/bench/fuchsialb/src/Bench/ReplayCommand.cpp
@@ -50,7 +50,7 @@
     absl::Status writeFiles(const ReplayReport& report, const cxxopts::ParseResult& flags)
     {
         if (flags.count("csv")) {
-            if (const auto status = report.writeCsv(flags["csv"].as<std::string>()); !status.ok())
+            if (auto status = report.writeCsv(flags["csv"].as<std::string>()); !status.ok())
                 return status;
         }
         return flags.count("json") ? report.writeJson(flags["json"].as<std::string>()) : absl::OkStatus();
--- a/bench/fuchsialb/src/Bench/SchedulerPolicy.cpp
+++ b/bench/fuchsialb/src/Bench/SchedulerPolicy.cpp
@@ -7,6 +7,7 @@
     std::vector<EndpointId> endpoints(const std::vector<RouteStage>& route)
     {
         std::vector<EndpointId> ids;
+        ids.reserve(route.size());
         for (const RouteStage& stage : route)
             ids.push_back(stage.endpoint);
         return ids;
--- a/bench/fuchsialb/src/Bench/Workload.h
+++ b/bench/fuchsialb/src/Bench/Workload.h
@@ -35,7 +35,10 @@
 /// \brief A change of a runner's health at a moment of the replay.
 struct Fault {
     enum class Kind : unsigned char {
+        /// Breaks its connections; noticed at once.
         Dies,
+        /// Keeps its connections open and yields nothing, load reports included.
+        Hangs,
         Returns,
         Slows,
     };
--- a/bench/fuchsialb/src/Bench/WorkloadReader.cpp
+++ b/bench/fuchsialb/src/Bench/WorkloadReader.cpp
@@ -123,6 +123,8 @@
             fault.kind = Fault::Kind::Returns;
         else if (kind == "slows")
             fault.kind = Fault::Kind::Slows;
+        else if (kind == "hangs")
+            fault.kind = Fault::Kind::Hangs;
         else if (kind != "dies")
             throw std::invalid_argument("unknown fault " + kind);
         fault.factor = json.value("factor", 1.0);
