--- a/bench/fuchsialb/src/Bench/Workload.h
+++ b/bench/fuchsialb/src/Bench/Workload.h
@@ -74,8 +74,9 @@
     std::vector<StatedOutcome> outcomes;
 };
 
-/// \return The name of the group, the model and the data centre of each workload.
+/// \return The group that all runners of a workload belong to.
 inline GroupId replayGroup() { return GroupId("replay"); }
+/// \return The model that all requests of a workload ask for.
 inline TargetId replayModel() { return TargetId("model"); }
 
 } // namespace fuchsialb::bench
