--- /dev/null
+++ b/bench/fuchsialb/src/Bench/CapacityFigures.cpp
@@ -0,0 +1,7 @@
+#include "CapacityMeasurements.h"
+
+namespace fuchsialb::bench {
+
+void addCapacityFigures(CapacityReport&) { }
+
+} // namespace fuchsialb::bench
