--- a/bench/fuchsialb/src/Bench/CapacityClaimLoad.cpp
+++ b/bench/fuchsialb/src/Bench/CapacityClaimLoad.cpp
@@ -80,9 +80,8 @@
     for (const ClaimAnswered& answered : answers) {
         if (answered.result.verdict != ClaimVerdict::Granted)
             continue;
-        m_due.emplace(m_now + requestMs, [log, id = answered.attempt] {
-            log->settle(id, ClaimKey(id.value()), Outcome::Completed, 200);
-        });
+        m_due.emplace(m_now + requestMs,
+            [log, id = answered.attempt] { log->settle(id, ClaimKey(id.value()), Outcome::Completed, 200); });
     }
 }
 
--- a/bench/fuchsialb/src/Bench/CapacityClaims.cpp
+++ b/bench/fuchsialb/src/Bench/CapacityClaims.cpp
@@ -20,7 +20,8 @@
         }
         report.add(writes);
         report.add(cpu);
-        CapacitySeries shards { "claim_writes_by_shards", "shards, one writer each, 2,900 claims/s", "writes/s", true, {} };
+        CapacitySeries shards { "claim_writes_by_shards", "shards, one writer each, 2,900 claims/s", "writes/s", true,
+            {} };
         for (std::uint32_t count : { 16U, 32U, 64U, 128U })
             shards.points.push_back({ double(count), CapacityClaimLoad({ 1, 2900, 900'000, 0, count }).run().writes });
         report.add(shards);
@@ -28,13 +29,13 @@
 
     void measureSegments(CapacityReport& report)
     {
-        CapacitySeries bytes { "claim_bytes_by_records", "records in each open segment, 2,900 claims/s", "store bytes/s",
-            true, {} };
+        CapacitySeries bytes { "claim_bytes_by_records", "records in each open segment, 2,900 claims/s",
+            "store bytes/s", true, {} };
         for (std::uint64_t records : { 0U, 2500U, 5000U, 10'000U })
             bytes.points.push_back({ double(records), CapacityClaimLoad({ 1, 2900, 900'000, records }).run().bytes });
         report.add(bytes);
-        CapacitySeries limited { "claim_bytes_by_segment", "largest segment in bytes, half full at the start", "store bytes/s",
-            true, {} };
+        CapacitySeries limited { "claim_bytes_by_segment", "largest segment in bytes, half full at the start",
+            "store bytes/s", true, {} };
         for (std::int64_t limit : { 16'000, 32'000, 64'000, 128'000 }) {
             const auto records = static_cast<std::uint64_t>(limit) / 2 / internal::ClaimSegment::recordBytes;
             limited.points.push_back({ double(limit), CapacityClaimLoad({ 1, 2900, limit, records }).run().bytes });
--- a/bench/fuchsialb/src/Bench/CapacityCommand.cpp
+++ b/bench/fuchsialb/src/Bench/CapacityCommand.cpp
@@ -62,16 +62,23 @@
 int capacityCommand(int count, char** arguments)
 {
     cxxopts::Options options("fuchsialb-bench capacity", "Measures costs at several sizes and fits lines");
-    options.add_options()("quick", "shorter runs")("markdown", "write the tables to a file",
-        cxxopts::value<std::string>()->default_value(""))("known", "KNOWN-RED.txt with the checks that may be over",
-        cxxopts::value<std::string>()->default_value(""))("check", "judge only this check",
-        cxxopts::value<std::string>()->default_value(""))("help", "show the flags");
+    options.add_options()("quick", "shorter runs")(
+        "markdown", "write the tables to a file", cxxopts::value<std::string>()->default_value(""))(
+        "known", "KNOWN-RED.txt with the checks that may be over", cxxopts::value<std::string>()->default_value(""))(
+        "check", "judge only this check", cxxopts::value<std::string>()->default_value(""))("help", "show the flags");
+    options.add_options()("only-decisions", "measure decisions alone, for counting instructions");
     try {
         const auto flags = options.parse(count, arguments);
         if (flags.count("help") > 0) {
             fmt::print("{}", options.help());
             return 0;
         }
+        if (flags.count("only-decisions") > 0) {
+            CapacityReport decisions;
+            measureDecisions(decisions, true);
+            fmt::print("{}\n", decisions.markdown());
+            return 0;
+        }
         const CapacityReport report = measure(flags.count("quick") > 0);
         const std::string tables = report.markdown();
         fmt::print("{}\n", tables);
--- a/bench/fuchsialb/src/Bench/CapacityFleet.cpp
+++ b/bench/fuchsialb/src/Bench/CapacityFleet.cpp
@@ -53,8 +53,8 @@
     }
     for (std::uint32_t i = 0; i < groups; ++i) {
         Host& host = m_hosts.at(ids[i % ids.size()]);
-        host.loads.push_back({ GroupId(fmt::format("group-{:03}", m_groups++)), host.id,
-            host.membership->self().address, {}, 0, 64 });
+        host.loads.push_back(
+            { GroupId(fmt::format("group-{:03}", m_groups++)), host.id, host.membership->self().address, {}, 0, 64 });
     }
     ++m_dataCentres;
 }
@@ -167,8 +167,7 @@
 void CapacityFleet::transmit(Host& host, const HostId& to, const PeerMessage& message)
 {
     const double before = threadCpuMicroseconds();
-    std::string bytes
-        = seal(m_keys, host.id, to, host.membership->self().incarnation, ++host.sequence, message);
+    std::string bytes = seal(m_keys, host.id, to, host.membership->self().incarnation, ++host.sequence, message);
     host.cpu += threadCpuMicroseconds() - before;
     const auto size = static_cast<double>(bytes.size());
     const bool config = std::holds_alternative<ConfigPull>(message) || std::holds_alternative<ConfigChunk>(message);
--- a/bench/fuchsialb/src/Bench/CapacityReport.cpp
+++ b/bench/fuchsialb/src/Bench/CapacityReport.cpp
@@ -17,7 +17,8 @@
 
 std::string CapacityReport::slopeTable() const
 {
-    std::string text = "| series | x | y | points (x: y) | slope | intercept | RMS residual |\n|---|---|---|---|---|---|---|\n";
+    std::string text
+        = "| series | x | y | points (x: y) | slope | intercept | RMS residual |\n|---|---|---|---|---|---|---|\n";
     for (const CapacitySeries& series : m_series) {
         std::string points;
         for (const CapacityPoint& point : series.points)
@@ -34,7 +35,8 @@
     std::string text = "| role | quantity | formula | value | allowance | verdict | what has to change | check |\n"
                        "|---|---|---|---|---|---|---|---|\n";
     for (const CapacityFigure& figure : m_figures) {
-        const std::string allowance = figure.allowance > 0 ? fmt::format("{:g} {}", figure.allowance, figure.unit) : "-";
+        const std::string allowance
+            = figure.allowance > 0 ? fmt::format("{:g} {}", figure.allowance, figure.unit) : "-";
         const std::string verdict = figure.allowance <= 0 ? "-" : figure.over() ? "**OVER**" : "within";
         text += fmt::format("| {} | {}{} | {} | {:.4g} {} | {} | {} | {} | {} |\n", figure.role, figure.quantity,
             figure.repeatable ? "" : " (varies)", figure.formula, figure.value, figure.unit, allowance, verdict,
--- a/bench/fuchsialb/src/Bench/CapacityTokens.cpp
+++ b/bench/fuchsialb/src/Bench/CapacityTokens.cpp
@@ -60,8 +60,8 @@
             m_entries = std::make_unique<internal::EntryTable>(
                 RouterFault::None, *m_chooser, *m_membership, m_clock, m_random);
             m_entries->configure(m_configuration);
-            m_schedulers = std::make_unique<internal::SchedulerTable>(
-                claimOptions(), RouterFault::None, m_clock, m_random);
+            m_schedulers
+                = std::make_unique<internal::SchedulerTable>(claimOptions(), RouterFault::None, m_clock, m_random);
             m_schedulers->configure(m_configuration);
             m_schedulers->own({ GroupId("group-000") });
         }
@@ -93,8 +93,8 @@
             const double scheduled = threadCpuMicroseconds();
             std::vector<std::string> sealed;
             for (const auto& output : outputs)
-                sealed.push_back(seal(m_keys, schedulerHost, entryHost, Incarnation(1'700'000'000'000), ++m_sequence,
-                    output.message));
+                sealed.push_back(seal(
+                    m_keys, schedulerHost, entryHost, Incarnation(1'700'000'000'000), ++m_sequence, output.message));
             const double sent = threadCpuMicroseconds();
             std::vector<Opened> opened;
             for (const std::string& bytes : sealed)
@@ -199,7 +199,8 @@
         return path.destroy();
     }
 
-    void addKept(CapacityReport& report, const std::string& state, const std::vector<std::uint32_t>& sizes, bool finished)
+    void addKept(
+        CapacityReport& report, const std::string& state, const std::vector<std::uint32_t>& sizes, bool finished)
     {
         CapacitySeries entry { "entry_bytes_" + state, "requests " + state, "bytes", true, {} };
         CapacitySeries scheduler { "scheduler_bytes_" + state, "requests " + state, "bytes", true, {} };
