--- a/bench/fuchsialb/src/Bench/CapacityCommand.cpp
+++ b/bench/fuchsialb/src/Bench/CapacityCommand.cpp
@@ -5,6 +5,7 @@
 #include <cxxopts.hpp>
 #include <fmt/format.h>
 
+#include <cstdint>
 #include <fstream>
 #include <set>
 #include <string>
@@ -66,17 +67,16 @@
         "markdown", "write the tables to a file", cxxopts::value<std::string>()->default_value(""))(
         "known", "KNOWN-RED.txt with the checks that may be over", cxxopts::value<std::string>()->default_value(""))(
         "check", "judge only this check", cxxopts::value<std::string>()->default_value(""))("help", "show the flags");
-    options.add_options()("only-decisions", "measure decisions alone, for counting instructions");
+    options.add_options()("decisions-of", "take 1,600 decisions in a group of so many runners, to count instructions",
+        cxxopts::value<std::uint32_t>()->default_value("0"));
     try {
         const auto flags = options.parse(count, arguments);
         if (flags.count("help") > 0) {
             fmt::print("{}", options.help());
             return 0;
         }
-        if (flags.count("only-decisions") > 0) {
-            CapacityReport decisions;
-            measureDecisions(decisions, true);
-            fmt::print("{}\n", decisions.markdown());
+        if (const auto runners = flags["decisions-of"].as<std::uint32_t>(); runners > 0) {
+            takeDecisions(runners);
             return 0;
         }
         const CapacityReport report = measure(flags.count("quick") > 0);
--- a/bench/fuchsialb/src/Bench/CapacityDecisions.cpp
+++ b/bench/fuchsialb/src/Bench/CapacityDecisions.cpp
@@ -17,6 +17,7 @@
 namespace {
 
     constexpr std::uint32_t batch = 32;
+    constexpr int quickRounds = 50;
 
     void endRuns(GroupScheduler& scheduler, const std::vector<StartRun>& runs)
     {
@@ -127,11 +128,13 @@
 
 } // namespace
 
+void takeDecisions(std::uint32_t runners) { schedulerDecision(runners, quickRounds); }
+
 void measureDecisions(CapacityReport& report, bool quick)
 {
     CapacitySeries decision { "scheduler_decision_us", "runners of the group", "CPU us", false, {} };
     for (std::uint32_t runners : { 4U, 8U, 16U })
-        decision.points.push_back({ double(runners), schedulerDecision(runners, quick ? 50 : 1000) });
+        decision.points.push_back({ double(runners), schedulerDecision(runners, quick ? quickRounds : 1000) });
     report.add(decision);
     CapacitySeries choose { "group_choice_us", "runners of the fleet", "CPU us", false, {} };
     CapacitySeries configure { "chooser_configure_us", "runners of the fleet", "CPU us", false, {} };
