--- a/bench/fuchsialb/src/Bench/CapacityMembership.cpp
+++ b/bench/fuchsialb/src/Bench/CapacityMembership.cpp
@@ -44,10 +44,13 @@
         for (const CapacityFleet::Host* host : fleet.hostsOf(0)) {
             const bool bridge = std::find(bridges.begin(), bridges.end(), host->id) != bridges.end();
             const double share = windowSeconds * (bridge ? 2.0 : plain);
-            (bridge ? cost.bridgeBytes : cost.bytes) += host->bytes / share;
+            const double bytes = host->bytes / windowSeconds;
+            double& largest = bridge ? cost.bridgeBytes : cost.largestBytes;
+            largest = std::max(largest, bytes);
+            if (!bridge)
+                cost.bytes += bytes / plain;
             (bridge ? cost.bridgeMessages : cost.messages) += host->messages / share;
             (bridge ? cost.bridgeCpu : cost.cpu) += host->cpu / share;
-            cost.largestBytes = std::max(cost.largestBytes, host->bytes / windowSeconds);
         }
         cost.memory = CapacityFleet::membershipBytes(*fleet.hostsOf(0).front());
         return cost;
@@ -98,10 +101,10 @@
 void measureMembership(CapacityReport& report, bool)
 {
     const std::string x = "members of the data centre";
-    CapacitySeries bytes { "member_bytes", x, "sealed bytes/s sent by a daemon", true, {} };
+    CapacitySeries bytes { "member_bytes", x, "sealed bytes/s sent by a daemon that is no bridge, mean", true, {} };
     CapacitySeries messages { "member_messages", x, "messages/s sent by a daemon", true, {} };
-    CapacitySeries largest { "member_bytes_largest", x, "sealed bytes/s sent by the busiest daemon", true, {} };
-    CapacitySeries bridge { "bridge_bytes", x, "sealed bytes/s sent by a bridge", true, {} };
+    CapacitySeries largest { "member_bytes_largest", x, "the same, busiest daemon", true, {} };
+    CapacitySeries bridge { "bridge_bytes", x, "sealed bytes/s sent by the busier bridge", true, {} };
     CapacitySeries bridgeMessages { "bridge_messages", x, "messages/s sent by a bridge", true, {} };
     CapacitySeries cpu { "member_cpu_us", x, "CPU us/s of a daemon", false, {} };
     CapacitySeries bridgeCpu { "bridge_cpu_us", x, "CPU us/s of a bridge", false, {} };
