Blame the stage without tokens first, suspend a silent runner beyond its lag

Cause: in a hang of one runner the healthy head was blamed, because reports that were under way kept arriving from the runner that hung; and its suspension ended with such a report. Change: the stage whose last token of any run is clearly oldest is blamed; a silent runner stays suspended until a report is newer than the largest lag.

--- a/packages/core/fuchsialb/src/Sched/ModelRecovery.cpp
+++ b/packages/core/fuchsialb/src/Sched/ModelRecovery.cpp
@@ -38,10 +38,10 @@
 
 } // namespace
 
-void ModelScheduler::suspend(const EndpointId& endpoint)
+void ModelScheduler::suspend(const EndpointId& endpoint, Reason reason)
 {
     if (RunnerModel* runner = fleet().find(endpoint))
-        runner->onFailure(now());
+        runner->onFailure(now(), reason == Reason::ConnectionSilent);
     m_index.forget(endpoint);
 }
 
@@ -54,7 +54,7 @@
     ModelRun& run = request->run;
     const std::size_t failed = std::min<std::size_t>(stage, run.route.size() - 1);
     if (blamesRunner(reason))
-        suspend(run.route[failed].endpoint);
+        suspend(run.route[failed].endpoint, reason);
     const bool headUnknown = failed == 0 && proof == FailureProof::MayHaveRun;
     const auto limit = request->request.maxTokens;
     if (limit > 0 && run.generated.size() >= limit) {
--- a/packages/core/fuchsialb/src/Sched/ModelScheduler.cpp
+++ b/packages/core/fuchsialb/src/Sched/ModelScheduler.cpp
@@ -14,6 +14,15 @@
     constexpr std::uint32_t statusOk = 200;
     /// Keep-alive comments come every 500 ms; a stream without any token for less than this is not silent.
     constexpr Duration leastSilence = std::chrono::milliseconds(1500);
+
+    /// \return The index of the oldest time when it is clearly older than the newest.
+    std::optional<std::size_t> stoppedFirst(const std::vector<TimePoint>& times)
+    {
+        const auto [oldest, newest] = std::minmax_element(times.begin(), times.end());
+        if (times.empty() || *newest - *oldest <= leastSilence / 2)
+            return std::nullopt;
+        return static_cast<std::size_t>(oldest - times.begin());
+    }
     /// Predicted times are means: a run counts as silent only after a multiple of them.
     constexpr double silenceFactor = 4.0;
     constexpr Duration preemptionMargin = std::chrono::seconds(5);
@@ -224,11 +233,14 @@
     run.generated.emplace_back(text);
     run.lastProgress = now();
     run.silenceBound = run.tokenSilenceBound;
-    if (run.generated.size() == 1 || !run.rebuilding.empty()) {
-        for (const RouteStage& stage : run.route) {
-            if (RunnerModel* runner = fleet().find(stage.endpoint))
-                runner->onSuccess();
-        }
+    const bool proven = run.generated.size() == 1 || !run.rebuilding.empty();
+    for (const RouteStage& stage : run.route) {
+        RunnerModel* runner = fleet().find(stage.endpoint);
+        if (!runner)
+            continue;
+        runner->onToken(now());
+        if (proven)
+            runner->onSuccess();
     }
     run.rebuilding.clear();
     charge(*request, prompt + 1);
@@ -348,23 +360,19 @@
 
 std::size_t ModelScheduler::silentStage(const ScheduledRequest& request) const
 {
-    const auto& route = request.run.route;
-    std::size_t suspect = 0;
-    std::optional<TimePoint> oldest;
-    std::optional<TimePoint> newest;
-    for (std::size_t i = 0; i < route.size(); ++i) {
-        const RunnerModel* runner = fleet().find(route[i].endpoint);
+    std::vector<TimePoint> tokens;
+    std::vector<TimePoint> reports;
+    for (const RouteStage& stage : request.run.route) {
+        const RunnerModel* runner = fleet().find(stage.endpoint);
         if (!runner || runner->suspended())
-            return i;
-        const auto reported = runner->reportedAt();
-        newest = std::max(newest, reported);
-        if (reported && (!oldest || *reported < *oldest)) {
-            oldest = reported;
-            suspect = i;
-        }
+            return tokens.size();
+        tokens.push_back(runner->tokenAt());
+        reports.push_back(runner->reportedAt().value_or(TimePoint {}));
     }
-    // Load reports come several times a second: the stage whose reports stopped first is the likely cause.
-    return oldest && *newest - *oldest > leastSilence / 2 ? suspect : 0;
+    // Tokens of other runs prove the stages that they passed through; they are known without the lag of reports.
+    if (const auto stage = stoppedFirst(tokens))
+        return *stage;
+    return stoppedFirst(reports).value_or(0);
 }
 
 } // namespace fuchsialb::internal
--- a/packages/core/fuchsialb/src/Sched/ModelScheduler.h
+++ b/packages/core/fuchsialb/src/Sched/ModelScheduler.h
@@ -56,7 +56,7 @@
     TimePoint resumeBy(const ScheduledRequest& request) const;
     void dropToken(RequestId request, Epoch epoch, std::uint32_t position);
 
-    void suspend(const EndpointId& endpoint);
+    void suspend(const EndpointId& endpoint, Reason reason);
     /// Takes the failed stages out of the route and goes on with successors, or waits for a runner.
     void recover(ScheduledRequest& request, std::size_t failed, Reason reason);
     std::optional<PlannedRoute> planSuccessor(const ScheduledRequest& request, const std::vector<RouteStage>& kept,
--- a/packages/core/fuchsialb/src/Sched/RunnerModel.cpp
+++ b/packages/core/fuchsialb/src/Sched/RunnerModel.cpp
@@ -14,6 +14,8 @@
     constexpr Duration slowAfter = std::chrono::seconds(2);
     constexpr Duration slowStartStep = std::chrono::milliseconds(250);
     constexpr Duration firstSuspension = std::chrono::milliseconds(250);
+    /// Reports up to this old still arrive from a runner that hangs.
+    constexpr Duration mostReportLag = std::chrono::milliseconds(1500);
     constexpr std::uint32_t mostSuspensionDoublings = 4;
     /// An endpoint that reports no load is tried again after this time anyway.
     constexpr Duration longestSilentSuspension = std::chrono::seconds(10);
@@ -120,9 +122,10 @@
         m_slowness = relative;
 }
 
-void RunnerModel::onFailure(TimePoint now)
+void RunnerModel::onFailure(TimePoint now, bool silent)
 {
     m_suspended = true;
+    m_silent = silent;
     m_failedAt = now;
     m_failures = std::min(m_failures + 1, mostSuspensionDoublings + 1);
 }
@@ -133,7 +136,8 @@
     if (!m_suspended || now - m_failedAt < suspension)
         return;
     const bool reports = m_reportedAt.has_value();
-    if (reports && *m_reportedAt <= m_failedAt && now - m_failedAt < longestSilentSuspension)
+    const Duration underWay = m_silent ? mostReportLag : Duration(0);
+    if (reports && *m_reportedAt <= m_failedAt + underWay && now - m_failedAt < longestSilentSuspension)
         return;
     m_suspended = false;
     m_returnedAt = now;
--- a/packages/core/fuchsialb/src/Sched/RunnerModel.h
+++ b/packages/core/fuchsialb/src/Sched/RunnerModel.h
@@ -50,8 +50,13 @@
     void judgeSlowness(double relative, TimePoint now);
     double slowness() const { return m_slowness; }
 
-    void onFailure(TimePoint now);
+    /// \param silent The runner yielded nothing; reports that are still under way do not show that it is back.
+    void onFailure(TimePoint now, bool silent);
     void onSuccess() { m_failures = 0; }
+    /// A token of any run passed through the runner.
+    void onToken(TimePoint now) { m_tokenAt = now; }
+    /// \return When the last token passed through, the epoch of the clock when none did.
+    TimePoint tokenAt() const { return m_tokenAt; }
     /// Ends a suspension when its time is over and the endpoint has reported again.
     void refresh(TimePoint now);
 
@@ -65,6 +70,8 @@
     std::uint32_t m_peakInProgress = 0;
     double m_foreignLoad = 0;
     std::optional<TimePoint> m_reportedAt;
+    TimePoint m_tokenAt {};
+    bool m_silent = false;
     std::optional<double> m_stepRatio;
     double m_slowness = 1;
     std::optional<TimePoint> m_slowSince;
--- a/packages/core/fuchsialb/src/Sched/ServiceScheduler.cpp
+++ b/packages/core/fuchsialb/src/Sched/ServiceScheduler.cpp
@@ -110,7 +110,7 @@
     // A call that ran out of its caller's time says nothing about the endpoint.
     RunnerModel* runner = fleet().find(request->endpoint);
     if (runner && now() < request->deadline)
-        runner->onFailure(now());
+        runner->onFailure(now(), reason == Reason::ConnectionSilent);
     retryOrEnd(*request, proof, reason);
     dispatch();
 }
--- a/packages/core/tests/SchedRouteTest.cpp
+++ b/packages/core/tests/SchedRouteTest.cpp
@@ -54,11 +54,11 @@
         CHECK(namesOf(planner.plan(fleet, {})->stages) == "first second ");
         add(runner("short", { 0, 2 }));
         fleet.configure(configuration, {});
-        fleet.find(EndpointId("first"))->onFailure({});
+        fleet.find(EndpointId("first"))->onFailure({}, false);
         RouteDemand demand;
         demand.usable = [](const RunnerModel& each) { return each.available(); };
         CHECK(namesOf(planner.plan(fleet, demand)->stages) == "short overlapping ");
-        fleet.find(EndpointId("overlapping"))->onFailure({});
+        fleet.find(EndpointId("overlapping"))->onFailure({}, false);
         CHECK_FALSE(planner.plan(fleet, demand));
     }
 
