Measure the overhead of a daemon beside direct calls

Cause: the time that a daemon adds to the first token and to each token had no measurement. Before: no figure.

--- a/standins/fuchsialb/src/Standins/Caller.cpp
+++ b/standins/fuchsialb/src/Standins/Caller.cpp
@@ -15,6 +15,7 @@
         workload.layers = field(item, "layers", workload.layers);
         workload.promptTokens = field(item, "prompt_tokens", workload.promptTokens);
         workload.maxTokens = field(item, "max_tokens", workload.maxTokens);
+        workload.engine = field(item, "engine", workload.engine);
         workload.service = field(item, "service", workload.service);
         workload.nonIdempotent = field(item, "non_idempotent", workload.nonIdempotent);
         workload.deadlineMilliseconds = field(item, "deadline_ms", workload.deadlineMilliseconds);
--- a/standins/fuchsialb/src/Standins/Caller.h
+++ b/standins/fuchsialb/src/Standins/Caller.h
@@ -22,6 +22,8 @@
         std::uint32_t layers = 32;
         std::size_t promptTokens = 16;
         std::size_t maxTokens = 8;
+        /// "IP:port" of an engine that holds all layers and is called directly, for a comparison; empty for a router.
+        std::string engine;
         /// Plain service that is called instead of the model.
         std::string service;
         /// Share of the service calls that must run at most once.
--- a/standins/fuchsialb/src/Standins/CallerReport.cpp
+++ b/standins/fuchsialb/src/Standins/CallerReport.cpp
@@ -41,7 +41,7 @@
         ranks[rank] = { { "sent", counts.sent }, { "completed", counts.completed }, { "not_run", counts.notRun },
             { "unknown", counts.unknown }, { "wrong", counts.wrong },
             { "first_token_ms", percentiles(counts.firstToken) },
-            { "between_tokens_ms", percentiles(counts.betweenTokens) } };
+            { "between_tokens_ms", percentiles(counts.betweenTokens) }, { "call_ms", percentiles(counts.call) } };
     }
     return { { "ranks", std::move(ranks) }, { "non_idempotent", m_told } };
 }
--- a/standins/fuchsialb/src/Standins/CallerReport.h
+++ b/standins/fuchsialb/src/Standins/CallerReport.h
@@ -16,6 +16,7 @@
     void sent(const std::string& rank) { ++m_ranks[rank].sent; }
     void firstToken(const std::string& rank, Duration time) { m_ranks[rank].firstToken.push_back(time); }
     void betweenTokens(const std::string& rank, Duration time) { m_ranks[rank].betweenTokens.push_back(time); }
+    void callEnded(const std::string& rank, Duration time) { m_ranks[rank].call.push_back(time); }
     /// What the caller of a non-idempotent request was told at the end.
     void told(const std::string& key, const std::string& outcome) { m_told[key] = outcome; }
 
@@ -30,6 +31,7 @@
         std::uint64_t wrong = 0;
         std::vector<Duration> firstToken;
         std::vector<Duration> betweenTokens;
+        std::vector<Duration> call;
     };
 
     std::map<std::string, Counts> m_ranks;
--- a/standins/fuchsialb/src/Standins/CallerSession.cpp
+++ b/standins/fuchsialb/src/Standins/CallerSession.cpp
@@ -78,6 +78,23 @@
     attempt(exchange);
 }
 
+HttpRequest CallerSession::directRequest(const Exchange& exchange) const
+{
+    const Caller::Workload& workload = *exchange.workload;
+    HttpRequest made;
+    made.timeout = m_options.timeout;
+    made.method = "POST";
+    made.url = urlOf(workload.engine) + "/v1/pipeline/run";
+    made.headers = { { "content-type", "application/json" } };
+    const Json stage = { { "endpoint", workload.engine }, { "first_layer", 0 }, { "end_layer", workload.layers } };
+    made.body = Json {
+        { "request", toHex(hash128(exchange.prompt)) }, { "epoch", 1 }, { "priority", 0 }, { "model", workload.model },
+        { "route", Json::array({ stage }) }, { "prompt", exchange.prompt }, { "generated", Json::array() },
+        { "resume_from", 0 }, { "max_tokens", workload.maxTokens }
+    }.dump();
+    return made;
+}
+
 HttpRequest CallerSession::request(const Exchange& exchange) const
 {
     const Caller::Workload& workload = *exchange.workload;
@@ -87,6 +104,8 @@
     made.headers = { { "fuchsialb-organisation", workload.organisation }, { "fuchsialb-rank", workload.rank } };
     if (workload.deadlineMilliseconds > 0)
         made.headers.emplace_back("fuchsialb-deadline-ms", std::to_string(workload.deadlineMilliseconds));
+    if (!workload.engine.empty())
+        return directRequest(exchange);
     if (workload.service.empty()) {
         made.method = "POST";
         made.url = url + "/v1/completions";
@@ -120,7 +139,11 @@
     if (exchange->workload->service.empty())
         handlers.onPiece = [stream](std::string_view piece) { stream->feed(piece); };
     handlers.onResponse = [this, exchange](const HttpResponse& response) {
-        m_loop->post([this, exchange, response] { onResponse(exchange, response); });
+        m_loop->post([this, exchange, response, time = SystemClock().now()] {
+            if (!exchange->workload->service.empty())
+                m_report.callEnded(exchange->workload->rank, time - exchange->due);
+            onResponse(exchange, response);
+        });
     };
     handlers.onFailure = [this, exchange](const HttpFailure& failure) {
         m_loop->post([this, exchange, notSent = failure.notSent] {
@@ -139,7 +162,9 @@
     const Json problem = event.contains("error") ? event["error"] : event;
     if (problem.is_object() && problem.contains("outcome"))
         exchange->outcome = field<std::string>(problem, "outcome", {});
-    const Json choices = event.value("choices", Json::array());
+    if (!exchange->workload->engine.empty() && event.contains("done"))
+        exchange->outcome = outcomeName(Outcome::Completed);
+    const Json choices = event.value("choices", Json::array({ event }));
     if (!choices.is_array() || choices.empty())
         return;
     const auto text = field<std::string>(choices.front(), "text", {});
--- a/standins/fuchsialb/src/Standins/CallerSession.h
+++ b/standins/fuchsialb/src/Standins/CallerSession.h
@@ -45,6 +45,7 @@
     void begin(const Caller::Workload& workload, std::size_t index, TimePoint due);
     void attempt(const ExchangeHandle& exchange);
     HttpRequest request(const Exchange& exchange) const;
+    HttpRequest directRequest(const Exchange& exchange) const;
     void onEvent(const ExchangeHandle& exchange, const Json& event, TimePoint time);
     void onResponse(const ExchangeHandle& exchange, const HttpResponse& response);
     void onEnd(const ExchangeHandle& exchange);
