--- a/bench/fuchsialb/src/Bench/CapacityConfiguration.cpp
+++ b/bench/fuchsialb/src/Bench/CapacityConfiguration.cpp
@@ -56,6 +56,7 @@
 {
     std::vector<ConfigurationCost> costs;
     const std::vector<double> runners { 40, 500, 2000, 5000 };
+    costs.reserve(runners.size());
     for (double count : runners)
         costs.push_back(configurationCost(static_cast<std::uint32_t>(count), 10));
     add(report, "runners", "runners, 10 organisations", runners, costs);
--- a/bench/fuchsialb/src/Bench/CapacityTokens.cpp
+++ b/bench/fuchsialb/src/Bench/CapacityTokens.cpp
@@ -92,11 +92,13 @@
             const auto outputs = m_schedulers->takeOutputs();
             const double scheduled = threadCpuMicroseconds();
             std::vector<std::string> sealed;
+            sealed.reserve(outputs.size());
             for (const auto& output : outputs)
                 sealed.push_back(seal(
                     m_keys, schedulerHost, entryHost, Incarnation(1'700'000'000'000), ++m_sequence, output.message));
             const double sent = threadCpuMicroseconds();
             std::vector<Opened> opened;
+            opened.reserve(sealed.size());
             for (const std::string& bytes : sealed)
                 opened.push_back(open(m_keys, entryHost, bytes).value());
             const double received = threadCpuMicroseconds();
--- a/packages/core/fuchsialb/src/Router/Router.cpp
+++ b/packages/core/fuchsialb/src/Router/Router.cpp
@@ -261,30 +261,20 @@
         m_actions.push_back(std::move(action));
     for (Action& action : m_schedulers->takeActions())
         m_actions.push_back(std::move(action));
-    for (auto& [target, operation] : m_schedulers->takeStoreOperations()) {
-        std::visit(
-            [&](auto& value) {
-                value.operation = m_store.add(target, value.operation);
-                m_actions.push_back(std::move(value));
-            },
-            operation);
-    }
-    for (ControlOperation& operation : m_spread->takeOperations()) {
-        std::visit(
-            [&](auto& value) {
-                value.operation = m_store.add(TargetId(), value.operation);
-                m_actions.push_back(std::move(value));
-            },
-            operation);
-    }
+    const auto issue = [this](const TargetId& origin, auto operation) {
+        operation.operation = m_store.add(origin, operation.operation);
+        m_actions.push_back(std::move(operation));
+    };
+    for (auto& item : m_schedulers->takeStoreOperations())
+        std::visit([&](auto& value) { issue(item.first, std::move(value)); }, item.second);
+    for (ControlOperation& operation : m_spread->takeOperations())
+        std::visit([&](auto& value) { issue(TargetId(), std::move(value)); }, operation);
     for (MemberSend& send : m_membership->takeSends()) {
-        PeerMessage message
-            = std::visit([](auto&& value) { return PeerMessage(std::move(value)); }, std::move(send.message));
+        PeerMessage message = std::visit([](auto& value) { return PeerMessage(std::move(value)); }, send.message);
         m_actions.push_back(SendPeer { send.to, send.address, std::move(message) });
     }
     for (ConfigSend& send : m_spread->takeSends()) {
-        PeerMessage message
-            = std::visit([](auto&& value) { return PeerMessage(std::move(value)); }, std::move(send.message));
+        PeerMessage message = std::visit([](auto& value) { return PeerMessage(std::move(value)); }, send.message);
         sendPeer(send.to, std::move(message));
     }
 }
--- a/packages/daemon/fuchsialb/src/Daemon/CallerFront.cpp
+++ b/packages/daemon/fuchsialb/src/Daemon/CallerFront.cpp
@@ -52,7 +52,7 @@
     to.traceParent = context->text();
 }
 
-void CallerFront::handle(ServerRequest request, std::shared_ptr<HttpReply> reply)
+void CallerFront::handle(const ServerRequest& request, const std::shared_ptr<HttpReply>& reply)
 {
     if (request.path == "/healthz" || request.path == "/readyz") {
         health(request, *reply);
--- a/packages/daemon/fuchsialb/src/Daemon/CallerFront.h
+++ b/packages/daemon/fuchsialb/src/Daemon/CallerFront.h
@@ -32,7 +32,7 @@
 
     CallerFront(Options options, const Clock& clock, Metrics& metrics, Submit submit);
 
-    void handle(ServerRequest request, std::shared_ptr<HttpReply> reply);
+    void handle(const ServerRequest& request, const std::shared_ptr<HttpReply>& reply);
     void deliver(const DeliverToken& token);
     void finish(const Finish& finish);
 
--- a/packages/daemon/fuchsialb/src/Daemon/Daemon.cpp
+++ b/packages/daemon/fuchsialb/src/Daemon/Daemon.cpp
@@ -242,8 +242,8 @@
             return admin.status();
         m_adminServer = std::move(*admin);
         auto callers = HttpServer::create(serverOptions(m_settings, m_settings.listen),
-            [this](ServerRequest request, std::shared_ptr<HttpReply> reply) {
-                m_callers->handle(std::move(request), std::move(reply));
+            [this](const ServerRequest& request, const std::shared_ptr<HttpReply>& reply) {
+                m_callers->handle(request, reply);
             });
         if (!callers.ok())
             return callers.status();
@@ -255,7 +255,7 @@
     {
         for (const auto step :
             { &DaemonImpl::startClients, &DaemonImpl::startPeers, &DaemonImpl::startCore, &DaemonImpl::startServers }) {
-            const absl::Status status = (this->*step)();
+            absl::Status status = (this->*step)();
             if (!status.ok())
                 return status;
         }
@@ -300,7 +300,7 @@
 absl::StatusOr<std::unique_ptr<Daemon>> Daemon::create(const Settings& settings)
 {
     auto daemon = std::make_unique<DaemonImpl>(settings);
-    const absl::Status status = daemon->start();
+    absl::Status status = daemon->start();
     if (!status.ok())
         return status;
     return daemon;
--- a/packages/endpoint/fuchsialb/src/Endpoint/EventStreamReader.cpp
+++ b/packages/endpoint/fuchsialb/src/Endpoint/EventStreamReader.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-    constexpr std::size_t maxLineBytes = 1024 * 1024;
+    constexpr std::size_t maxLineBytes = 1'048'576;
     constexpr std::string_view dataField = "data:";
 
 } // namespace
