Find schedulers of other data centres from the host list until loads arrive

Ruled out: the killed stage, since the refusals begin with the first request. Change: until a load is heard, the scheduler of a remote group is the first by rendezvous hashing over the hosts that the platform's list names there; a host that does not own the group returns the request and the next one is tried. Before: the new test fails (no answer after 2 s). Conclusion: a host serves other data centres' groups from its start.

--- a/packages/core/fuchsialb/src/Router/GroupChooser.cpp
+++ b/packages/core/fuchsialb/src/Router/GroupChooser.cpp
@@ -35,11 +35,14 @@
     std::map<TargetId, std::set<GroupId>> local;
     std::map<TargetId, std::set<GroupId>> remote;
     m_localGroups.clear();
+    m_remoteGroups.clear();
     for (const auto& [id, endpoint] : configuration.endpoints) {
         const bool here = endpoint.dataCentre == m_dataCentre;
         (here ? local : remote)[endpoint.target].insert(endpoint.group);
         if (here)
             m_localGroups.insert(endpoint.group);
+        else
+            m_remoteGroups.emplace(endpoint.group, endpoint.dataCentre);
     }
     const auto flatten = [](const std::map<TargetId, std::set<GroupId>>& from) {
         std::map<TargetId, std::vector<GroupId>> to;
@@ -70,6 +73,31 @@
     }
 }
 
+void GroupChooser::onHostList(const std::vector<ListedHost>& hosts)
+{
+    m_listed.clear();
+    for (const ListedHost& host : hosts) {
+        if (!host.leaving && host.dataCentre != m_dataCentre)
+            m_listed[host.dataCentre].push_back(host.host);
+    }
+}
+
+std::optional<HostId> GroupChooser::listedScheduler(const GroupId& group, const std::set<HostId>& excluded) const
+{
+    const auto dataCentre = m_remoteGroups.find(group);
+    if (dataCentre == m_remoteGroups.end())
+        return std::nullopt;
+    const auto listed = m_listed.find(dataCentre->second);
+    if (listed == m_listed.end())
+        return std::nullopt;
+    // The list lags: a host that returned the request does not own the group, the next by hash may.
+    for (const HostId& host : rendezvous(group.value(), listed->second, listed->second.size())) {
+        if (!excluded.contains(host))
+            return host;
+    }
+    return std::nullopt;
+}
+
 std::optional<HostId> GroupChooser::scheduler(const GroupId& group) const
 {
     const auto it = m_schedulers.find(group);
@@ -111,6 +139,8 @@
         host = *own;
     } else if (load && !load->scheduler.value().empty()) {
         host = load->scheduler;
+    } else if (const auto listed = listedScheduler(group, excluded)) {
+        host = *listed;
     } else {
         return std::nullopt;
     }
--- a/packages/core/fuchsialb/src/Router/GroupChooser.h
+++ b/packages/core/fuchsialb/src/Router/GroupChooser.h
@@ -30,6 +30,8 @@
 
     void configure(const Configuration& configuration);
     void onMembers(const Membership& membership);
+    /// Names the hosts of other data centres until their loads have been heard, which takes up to 30 s after a start.
+    void onHostList(const std::vector<ListedHost>& hosts);
 
     /// \param excluded Schedulers that returned or lost this request.
     /// \return None when no group of the target has a scheduler.
@@ -60,6 +62,7 @@
         const Membership& membership, const std::set<HostId>& excluded);
     std::optional<Candidate> claimOwner(
         const Request& request, const Membership& membership, const std::set<HostId>& excluded);
+    std::optional<HostId> listedScheduler(const GroupId& group, const std::set<HostId>& excluded) const;
     Duration ownForwards(const GroupLoad& load);
     void assignSchedulers();
 
@@ -71,6 +74,8 @@
     std::map<TargetId, std::vector<GroupId>> m_remote;
     std::map<TargetId, std::uint32_t> m_claimShards;
     std::set<GroupId> m_localGroups;
+    std::map<GroupId, DataCentreId> m_remoteGroups;
+    std::map<DataCentreId, std::vector<HostId>> m_listed;
     std::vector<HostId> m_accepting;
     std::map<GroupId, HostId> m_schedulers;
     std::map<GroupId, Recent> m_recent;
--- a/packages/core/fuchsialb/src/Router/Router.cpp
+++ b/packages/core/fuchsialb/src/Router/Router.cpp
@@ -83,7 +83,13 @@
         m_schedulers->onStoreAnswer(origin->target, answer);
 }
 
-void Router::on(const HostsListed& event) { m_membership->onHostList(event.hosts); }
+void Router::on(const HostsListed& event)
+{
+    m_membership->onHostList(event.hosts);
+    m_chooser.onHostList(event.hosts);
+    for (const ListedHost& host : event.hosts)
+        m_addresses.try_emplace(host.host, host.address);
+}
 
 void Router::on(const DrainRequested&)
 {
--- a/packages/core/tests/RouterFailureTest.cpp
+++ b/packages/core/tests/RouterFailureTest.cpp
@@ -55,3 +55,21 @@
     }
     CHECK(completed >= 14);
 }
+
+// Guards against a data centre without a group of its own that refuses work until the loads of the others arrive.
+TEST_CASE("A data centre without runners is served by another soon after its start")
+{
+    ClusterOptions options;
+    options.modelDataCentres = 1;
+    Cluster cluster(options);
+    cluster.run(std::chrono::seconds(3));
+    for (int i = 0; i < 4; ++i)
+        cluster.complete(2 + i % 2, 8);
+    cluster.run(std::chrono::seconds(2));
+    for (const auto& [id, call] : cluster.record().calls) {
+        REQUIRE(call.results.size() == 1);
+        INFO(reasonName(call.results.front().reason) << " " << call.results.front().detail);
+        CHECK(call.results.front().outcome == Outcome::Completed);
+    }
+    CHECK(cluster.record().calls.size() == 4);
+}
--- a/packages/core/tests/support/Cluster.cpp
+++ b/packages/core/tests/support/Cluster.cpp
@@ -72,7 +72,8 @@
         = { 0.2, std::chrono::seconds(60), std::chrono::seconds(1), std::chrono::seconds(600) };
     for (int dataCentre = 0; dataCentre < m_options.dataCentres; ++dataCentre) {
         const std::string name = dataCentreName(dataCentre);
-        for (std::uint32_t i = 0; i < replicas * layers / layersPerStage; ++i) {
+        for (std::uint32_t i = 0; dataCentre < m_options.modelDataCentres && i < replicas * layers / layersPerStage;
+             ++i) {
             Endpoint runner;
             runner.id = EndpointId(fmt::format("{}-runner-{}", name, i));
             runner.dataCentre = DataCentreId(name);
--- a/packages/core/tests/support/Cluster.h
+++ b/packages/core/tests/support/Cluster.h
@@ -39,6 +39,8 @@
     std::uint64_t seed = 1;
     int dataCentres = 2;
     int hostsPerDataCentre = 2;
+    /// Data centres that hold a group of the model, from the first on.
+    int modelDataCentres = 2;
     ClusterFaults faults;
     RouterFault routerFault = RouterFault::None;
 };
