--- a/packages/cli/fuchsialb/src/Cli/AdminCommands.cpp
+++ b/packages/cli/fuchsialb/src/Cli/AdminCommands.cpp
@@ -1,6 +1,6 @@
 #include "AdminCommands.h"
 
-#include "fuchsialb/src/Platform/StoreProtocol.h"
+#include "fuchsialb/src/Store/StoreProtocol.h"
 
 #include <fmt/format.h>
 
--- a/packages/cli/fuchsialb/src/Cli/ConfigStore.h
+++ b/packages/cli/fuchsialb/src/Cli/ConfigStore.h
@@ -3,7 +3,7 @@
 #include "ConfigHistory.h"
 
 #include "fuchsialb/Config.h"
-#include "fuchsialb/Platform.h"
+#include "fuchsialb/Store.h"
 
 #include <absl/status/statusor.h>
 
--- /dev/null
+++ b/packages/core/fuchsialb/Fleet.h
@@ -0,0 +1,18 @@
+#pragma once
+
+/// \file
+/// Decisions for fleets of runners that each hold a range of a model's layers: routing table, placement of layers,
+/// choice of paths, admission and the watch over streams. No input or output.
+
+#include "src/Fleet/AdmissionQueue.h"
+#include "src/Fleet/ConfigurationInForce.h"
+#include "src/Fleet/EngineProfile.h"
+#include "src/Fleet/HostBoard.h"
+#include "src/Fleet/LoadLedger.h"
+#include "src/Fleet/PathFinder.h"
+#include "src/Fleet/PlacementDriver.h"
+#include "src/Fleet/PlacementPlanner.h"
+#include "src/Fleet/RepeatBudget.h"
+#include "src/Fleet/RoutingTable.h"
+#include "src/Fleet/RunnerDirectory.h"
+#include "src/Fleet/StallDetector.h"
--- /dev/null
+++ b/packages/core/fuchsialb/src/Fleet/EngineProfile.cpp
@@ -0,0 +1,59 @@
+#include "EngineProfile.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace fuchsialb {
+
+namespace {
+
+    constexpr double bytesPerMegabyte = 1e6;
+
+} // namespace
+
+const AcceleratorProfile* EngineProfile::accelerator(const AcceleratorKindId& kind) const
+{
+    const auto found = std::find_if(accelerators.begin(), accelerators.end(),
+        [&](const AcceleratorProfile& profile) { return profile.kind == kind; });
+    return found == accelerators.end() ? nullptr : &*found;
+}
+
+double EngineProfile::cacheMegabytesPerTokenLayer() const
+{
+    return layers == 0 ? 0 : cacheBytesPerToken / layers / bytesPerMegabyte;
+}
+
+std::uint32_t EngineProfile::mostLayers(const AcceleratorProfile& accelerator) const
+{
+    return layersWithRoom(accelerator, 0);
+}
+
+std::uint32_t EngineProfile::layersWithRoom(const AcceleratorProfile& accelerator, double tokens) const
+{
+    const double megabytesPerLayer = layerMegabytes + tokens * cacheMegabytesPerTokenLayer();
+    if (megabytesPerLayer <= 0)
+        return 0;
+    return std::min(layers, static_cast<std::uint32_t>(accelerator.memoryMegabytes / megabytesPerLayer));
+}
+
+double EngineProfile::cacheRoom(const AcceleratorProfile& accelerator, std::uint32_t held) const
+{
+    const double perTokenLayer = cacheMegabytesPerTokenLayer();
+    if (perTokenLayer <= 0)
+        return 0;
+    return std::max(0.0, accelerator.memoryMegabytes - held * layerMegabytes) / perTokenLayer;
+}
+
+double EngineProfile::stepTime(const AcceleratorProfile& accelerator, std::uint32_t count, double sequences) const
+{
+    if (layers == 0)
+        return 0;
+    constexpr double tokensPerThousand = 1000;
+    const double context
+        = sequences * static_cast<double>(usualPromptTokens + usualOutputTokens / 2) / tokensPerThousand;
+    const double whole
+        = stepMilliseconds + sequences * stepMillisecondsPerSequence + context * stepMillisecondsPerThousandTokens;
+    return whole * accelerator.stepFactor * count / layers;
+}
+
+} // namespace fuchsialb
--- /dev/null
+++ b/packages/core/fuchsialb/src/Fleet/LoadLedger.cpp
@@ -0,0 +1,63 @@
+#include "LoadLedger.h"
+
+#include <utility>
+
+namespace fuchsialb {
+
+RunnerLoad& RunnerLoad::operator+=(const RunnerLoad& other)
+{
+    cache += other.cache;
+    sequences += other.sequences;
+    first += other.first;
+    return *this;
+}
+
+void LoadLedger::commit(const Path& path, double tokens)
+{
+    for (std::size_t i = 0; i < path.size(); ++i)
+        m_own[path[i].runner] += { tokens * path[i].layers.count(), 1, i == 0 ? 1.0 : 0.0 };
+}
+
+void LoadLedger::release(const Path& path, double tokens)
+{
+    for (std::size_t i = 0; i < path.size(); ++i) {
+        RunnerLoad& load = m_own[path[i].runner];
+        load += { -tokens * path[i].layers.count(), -1, i == 0 ? -1.0 : 0.0 };
+        // Whole requests are counted, so a rest below one request is rounding.
+        if (load.sequences < 0.5)
+            m_own.erase(path[i].runner);
+    }
+}
+
+void LoadLedger::setPeer(const HostId& host, LoadTable load)
+{
+    m_peers[host] = std::move(load);
+    rebuild();
+}
+
+void LoadLedger::removePeer(const HostId& host)
+{
+    if (m_peers.erase(host) > 0)
+        rebuild();
+}
+
+void LoadLedger::rebuild()
+{
+    m_others.clear();
+    for (const auto& [host, table] : m_peers) {
+        for (const auto& [runner, load] : table)
+            m_others[runner] += load;
+    }
+}
+
+RunnerLoad LoadLedger::at(const EndpointId& runner) const
+{
+    RunnerLoad load;
+    if (const auto own = m_own.find(runner); own != m_own.end())
+        load += own->second;
+    if (const auto others = m_others.find(runner); others != m_others.end())
+        load += others->second;
+    return load;
+}
+
+} // namespace fuchsialb
--- /dev/null
+++ b/packages/core/fuchsialb/src/Fleet/PathFinder.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "EngineProfile.h"
+#include "LoadLedger.h"
+#include "RunnerDirectory.h"
+
+#include <optional>
+#include <set>
+
+namespace fuchsialb {
+
+/// \brief What a path is wanted for.
+struct PathRequest {
+    TargetId service;
+    /// Data centre of the host that sends the request.
+    DataCentreId from;
+    /// Expected tokens of the request at its end.
+    double tokens = 0;
+    /// Fraction of each runner's KV cache that the request may fill up to.
+    double cacheLimit = 1;
+    /// Runners that must not be on the path.
+    std::set<EndpointId> avoided;
+};
+
+/// \brief Finds the cheapest chain of runners that covers all layers in order and has room for a request.
+///
+/// Shortest path over (layers done, data centre) by dynamic programming; an edge is a range of layers at one runner.
+/// The cost of an edge is the time of a token step there, raised as its KV cache fills, so that requests spread over
+/// the holders of a range. Crossing between data centres costs far more than any detour inside one: hidden states go
+/// over a shared link for each token.
+class PathFinder {
+public:
+    PathFinder(const RunnerDirectory& directory, const LoadLedger& ledger)
+        : m_directory(directory)
+        , m_ledger(ledger)
+    {
+    }
+
+    /// \return No path when no chain of usable runners has room.
+    std::optional<Path> find(const PathRequest& request, const EngineProfile& engine, TimePoint now) const;
+    /// \return Whether a chain would exist if all runners were empty, so that waiting can help.
+    bool covered(const PathRequest& request, const EngineProfile& engine, TimePoint now) const;
+    /// \return Fraction of the KV cache in use over all usable holders of the service.
+    double fill(const TargetId& service, const EngineProfile& engine, TimePoint now) const;
+
+private:
+    std::optional<Path> search(
+        const PathRequest& request, const EngineProfile& engine, TimePoint now, bool ignoreLoad) const;
+
+    const RunnerDirectory& m_directory;
+    const LoadLedger& m_ledger;
+};
+
+} // namespace fuchsialb
--- /dev/null
+++ b/packages/core/fuchsialb/src/Fleet/PlacementDriver.cpp
@@ -0,0 +1,116 @@
+#include "PlacementDriver.h"
+
+#include <algorithm>
+
+namespace fuchsialb {
+
+namespace {
+
+    // Wait before a runner that refused an order gets the next one, for its entry in the registry to change.
+    constexpr Duration refusalPause = std::chrono::milliseconds(400);
+    // An order without an answer is given again after this time.
+    constexpr Duration answerWait = std::chrono::milliseconds(1200);
+    // Loads share the weight store; the slowest takes this factor longer than an idle load.
+    constexpr int loadSlack = 6;
+    constexpr Duration loadExtra = std::chrono::milliseconds(1500);
+
+    Duration loadTime(const EngineProfile& engine, std::uint32_t layers)
+    {
+        return engine.layers == 0 ? Duration(0) : engine.loadTime * layers / engine.layers;
+    }
+
+} // namespace
+
+void PlacementDriver::forgetFinished(const RunnerDirectory& directory, TimePoint now)
+{
+    std::erase_if(m_pending, [&](const auto& item) {
+        const RunnerDirectory::Runner* runner = directory.find(item.first);
+        const Pending& pending = item.second;
+        return !runner || runner->entry.startedAt != pending.runnerStartedAt
+            || runner->entry.layers == pending.order.layers || now >= pending.abandonAt;
+    });
+    std::erase_if(m_pausedUntil, [&](const auto& item) { return now >= item.second; });
+}
+
+std::vector<PlaceOrder> PlacementDriver::due(const RunnerDirectory& directory, const TargetId& service,
+    const EngineProfile& engine, TimePoint now, Duration settled)
+{
+    forgetFinished(directory, now);
+    std::vector<PlacementNode> nodes;
+    std::set<EndpointId> known;
+    bool nothingHeld = true;
+    for (const auto& [id, runner] : directory.runners()) {
+        const RunnerEntry& entry = runner.entry;
+        if (entry.service != service || entry.dataCentre != m_dataCentre || entry.draining)
+            continue;
+        known.insert(id);
+        // Layers of a runner that fails requests are looked after elsewhere; it gets no orders meanwhile.
+        const bool failing = now < runner.suspendedUntil;
+        const auto pending = m_pending.find(id);
+        if (failing && pending == m_pending.end())
+            continue;
+        const LayerRange layers = pending != m_pending.end() ? pending->second.order.layers : entry.layers;
+        const bool idle = pending == m_pending.end() && !m_pausedUntil.contains(id);
+        nothingHeld = nothingHeld && layers.count() == 0;
+        nodes.push_back({ id, entry.accelerator, layers, idle });
+    }
+    if (known != m_known) {
+        m_known = std::move(known);
+        m_changedAt = now;
+    }
+    std::vector<PlaceOrder> orders;
+    if (nothingHeld && now - m_changedAt < settled)
+        return orders;
+    for (const PlacementStep& step : PlacementPlanner::plan(nodes, engine)) {
+        const RunnerDirectory::Runner* runner = directory.find(step.runner);
+        if (!runner || m_pending.contains(step.runner) || m_pausedUntil.contains(step.runner))
+            continue;
+        const RunnerEntry& entry = runner->entry;
+        PlaceOrder order { entry.id, entry.address, step.layers, entry.ordersBegun };
+        Pending pending;
+        pending.order = order;
+        pending.runnerStartedAt = entry.startedAt;
+        pending.expectedBy = now + answerWait;
+        pending.abandonAt = now + loadTime(engine, step.layers.count()) * loadSlack + loadExtra;
+        m_pending.emplace(step.runner, std::move(pending));
+        orders.push_back(std::move(order));
+    }
+    return orders;
+}
+
+void PlacementDriver::answered(const EndpointId& runner, OrderOutcome outcome, TimePoint now)
+{
+    const auto found = m_pending.find(runner);
+    if (found == m_pending.end())
+        return;
+    switch (outcome) {
+    case OrderOutcome::Begun:
+    case OrderOutcome::Done:
+        found->second.begun = true;
+        found->second.expectedBy = std::max(now, found->second.abandonAt - loadExtra);
+        break;
+    case OrderOutcome::Refused:
+        m_pending.erase(found);
+        m_pausedUntil[runner] = now + refusalPause;
+        break;
+    case OrderOutcome::Unknown:
+        // The same expectation makes a second copy of the order harmless.
+        m_pending.erase(found);
+        m_pausedUntil[runner] = now + answerWait;
+        break;
+    }
+}
+
+std::vector<EndpointId> PlacementDriver::overdue(TimePoint now)
+{
+    std::vector<EndpointId> list;
+    for (auto& [id, pending] : m_pending) {
+        if (now < pending.expectedBy)
+            continue;
+        pending.expectedBy = now + answerWait;
+        list.push_back(id);
+    }
+    return list;
+}
+
+} // namespace fuchsialb
--- /dev/null
+++ b/packages/core/fuchsialb/src/Fleet/PlacementDriver.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "PlacementPlanner.h"
+#include "RunnerDirectory.h"
+
+#include <map>
+#include <set>
+
+namespace fuchsialb {
+
+/// \brief An order to a runner to hold a range of layers.
+struct PlaceOrder {
+    EndpointId runner;
+    std::string address;
+    LayerRange layers;
+    /// The runner refuses the order when it has begun another number of orders since its start, so that an order that
+    /// arrives late, after newer ones, does nothing.
+    std::uint64_t expectedOrders = 0;
+};
+
+/// \brief How an order was answered.
+enum class OrderOutcome : unsigned char {
+    /// The runner loads the layers.
+    Begun,
+    /// The runner holds the layers already.
+    Done,
+    /// The order does not fit what the runner has done since; what the directory says of it is outdated.
+    Refused,
+    /// No answer: it may be carried out now, later or never.
+    Unknown,
+};
+
+/// \brief Gives the orders that bring the runners of one data centre to the planned placement.
+///
+/// Holds no state that has to survive: what runners hold is read from the registry, and an order in progress that a
+/// successor doesn't know of is refused by its expected number of orders when it is given again.
+class PlacementDriver {
+public:
+    /// \param dataCentre Only its runners are placed.
+    explicit PlacementDriver(DataCentreId dataCentre)
+        : m_dataCentre(std::move(dataCentre))
+    {
+    }
+
+    /// \param settled How long the set of runners must be unchanged before the first placement of an empty fleet.
+    /// \return Orders to give now.
+    std::vector<PlaceOrder> due(const RunnerDirectory& directory, const TargetId& service, const EngineProfile& engine,
+        TimePoint now, Duration settled);
+    void answered(const EndpointId& runner, OrderOutcome outcome, TimePoint now);
+    /// \return Runners with an order in progress whose state should have changed by now and is to be asked for.
+    std::vector<EndpointId> overdue(TimePoint now);
+
+private:
+    struct Pending {
+        PlaceOrder order;
+        std::int64_t runnerStartedAt = 0;
+        bool begun = false;
+        TimePoint expectedBy {};
+        TimePoint abandonAt {};
+    };
+
+    void forgetFinished(const RunnerDirectory& directory, TimePoint now);
+
+    DataCentreId m_dataCentre;
+    std::map<EndpointId, Pending> m_pending;
+    /// Runners that refused an order, until they are asked again.
+    std::map<EndpointId, TimePoint> m_pausedUntil;
+    std::set<EndpointId> m_known;
+    TimePoint m_changedAt {};
+};
+
+} // namespace fuchsialb
--- /dev/null
+++ b/packages/core/fuchsialb/src/Fleet/PlacementPlanner.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "EngineProfile.h"
+
+#include <vector>
+
+namespace fuchsialb {
+
+/// \brief A runner as the planner sees it.
+struct PlacementNode {
+    EndpointId runner;
+    AcceleratorKindId accelerator;
+    /// Layers that it holds, or will hold when the order in progress is done.
+    LayerRange layers;
+    /// It has no order in progress.
+    bool idle = true;
+};
+
+/// \brief Layers that a runner should hold from now on.
+struct PlacementStep {
+    EndpointId runner;
+    LayerRange layers;
+
+    bool operator==(const PlacementStep&) const = default;
+};
+
+/// \brief Decides which runner of one data centre holds which layers of a model.
+///
+/// A data centre holds one whole copy of the model where its memory allows, so that requests need not cross to another
+/// one and a data centre that is cut off serves on. The rest of the memory is KV cache, the scarce resource under load:
+/// - an empty fleet gets contiguous ranges that maximise the smallest KV cache, in tokens, over all runners;
+/// - layers that nobody holds any more go to an empty runner, or else extend the ranges on both sides of the gap;
+/// - an empty runner that no gap needs doubles the layers with the least KV cache.
+///
+/// A step never names more layers than fit beside those that the runner still holds.
+class PlacementPlanner {
+public:
+    /// \return Steps to give now; none when nothing is to be done.
+    static std::vector<PlacementStep> plan(const std::vector<PlacementNode>& nodes, const EngineProfile& engine);
+};
+
+} // namespace fuchsialb
--- /dev/null
+++ b/packages/core/fuchsialb/src/Fleet/RepeatBudget.cpp
@@ -0,0 +1,39 @@
+#include "RepeatBudget.h"
+
+#include <algorithm>
+
+namespace fuchsialb {
+
+namespace {
+
+    // Hosts see their number with a lag and unequal loads, so a part of the allowance is left unused.
+    constexpr double usedShare = 0.7;
+
+} // namespace
+
+void RepeatBudget::expire(TimePoint now)
+{
+    for (auto* times : { &m_requests, &m_repeats }) {
+        while (!times->empty() && now - times->front() >= m_limits.window)
+            times->pop_front();
+    }
+}
+
+void RepeatBudget::request(TimePoint now)
+{
+    expire(now);
+    m_requests.push_back(now);
+}
+
+bool RepeatBudget::take(TimePoint now, std::size_t hosts)
+{
+    expire(now);
+    const double allowance = m_limits.allowance / static_cast<double>(std::max<std::size_t>(1, hosts));
+    const double allowed = usedShare * (allowance + m_limits.ratio * static_cast<double>(m_requests.size()));
+    if (static_cast<double>(m_repeats.size()) + 1 > allowed)
+        return false;
+    m_repeats.push_back(now);
+    return true;
+}
+
+} // namespace fuchsialb
--- /dev/null
+++ b/packages/core/fuchsialb/src/Fleet/RunnerDirectory.cpp
@@ -0,0 +1,67 @@
+#include "RunnerDirectory.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace fuchsialb {
+
+namespace {
+
+    // A runner that is gone leaves the registry within a few seconds, so longer suspensions add nothing.
+    constexpr Duration longestSuspension = std::chrono::seconds(6);
+    constexpr std::uint32_t mostDoublings = 4;
+
+} // namespace
+
+void RunnerDirectory::replaceAll(const std::vector<RunnerEntry>& entries)
+{
+    Runners kept;
+    for (const RunnerEntry& entry : entries) {
+        put(entry);
+        kept.insert(m_runners.extract(entry.id));
+    }
+    m_runners = std::move(kept);
+}
+
+void RunnerDirectory::put(RunnerEntry entry)
+{
+    Runner& runner = m_runners[entry.id];
+    if (runner.entry.startedAt != entry.startedAt) {
+        runner.failures = 0;
+        runner.suspendedUntil = {};
+    }
+    runner.entry = std::move(entry);
+}
+
+const RunnerDirectory::Runner* RunnerDirectory::find(const EndpointId& id) const
+{
+    const auto found = m_runners.find(id);
+    return found == m_runners.end() ? nullptr : &found->second;
+}
+
+const RunnerDirectory::Runner* RunnerDirectory::at(std::string_view address) const
+{
+    const auto found = std::find_if(
+        m_runners.begin(), m_runners.end(), [&](const auto& item) { return item.second.entry.address == address; });
+    return found == m_runners.end() ? nullptr : &found->second;
+}
+
+void RunnerDirectory::failed(const EndpointId& id, TimePoint now, Duration suspension)
+{
+    const auto found = m_runners.find(id);
+    if (found == m_runners.end() || now < found->second.suspendedUntil)
+        return;
+    Runner& runner = found->second;
+    runner.suspendedUntil
+        = now + std::min(longestSuspension, suspension * (1U << std::min(runner.failures, mostDoublings)));
+    ++runner.failures;
+}
+
+void RunnerDirectory::succeeded(const EndpointId& id)
+{
+    const auto found = m_runners.find(id);
+    if (found != m_runners.end())
+        found->second.failures = 0;
+}
+
+} // namespace fuchsialb
--- /dev/null
+++ b/packages/core/fuchsialb/src/Fleet/RunnerDirectory.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "../Base/Clock.h"
+#include "../Base/Ids.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace fuchsialb {
+
+/// \brief What a runner or plain endpoint last said of itself.
+struct RunnerEntry {
+    EndpointId id;
+    /// "IP:port".
+    std::string address;
+    DataCentreId dataCentre;
+    TargetId service;
+    bool draining = false;
+    /// Layers that it holds; empty when it holds none.
+    LayerRange layers;
+    /// Version of the weights that it holds.
+    std::uint32_t weightsVersion = 0;
+    AcceleratorKindId accelerator;
+    /// Orders that it has begun since its start; an order with another expectation is refused.
+    std::uint64_t ordersBegun = 0;
+    /// Start of the process, Unix milliseconds; a change means that it restarted and holds nothing of before.
+    std::int64_t startedAt = 0;
+    std::uint32_t slots = 1;
+
+    bool operator==(const RunnerEntry&) const = default;
+};
+
+/// \brief The runners that may be used, by what they say of themselves and by what requests met at them.
+///
+/// A runner that failed requests is passed over for a time that doubles with each further failure; one success ends
+/// that. A restart under the same id clears what was held against it.
+class RunnerDirectory {
+public:
+    struct Runner {
+        RunnerEntry entry;
+        TimePoint suspendedUntil {};
+        std::uint32_t failures = 0;
+
+        bool usable(TimePoint now) const { return !entry.draining && now >= suspendedUntil; }
+    };
+
+    using Runners = std::map<EndpointId, Runner>;
+
+    /// Replaces all entries, for a fresh listing of the registry.
+    void replaceAll(const std::vector<RunnerEntry>& entries);
+    void put(RunnerEntry entry);
+    void remove(const EndpointId& id) { m_runners.erase(id); }
+
+    const Runners& runners() const { return m_runners; }
+    const Runner* find(const EndpointId& id) const;
+    /// \return The runner at an address, or null.
+    const Runner* at(std::string_view address) const;
+
+    /// A request met a failure that the runner is to blame for.
+    /// \param suspension Time to pass the runner over after a first failure.
+    void failed(const EndpointId& id, TimePoint now, Duration suspension);
+    /// A request was answered.
+    void succeeded(const EndpointId& id);
+
+private:
+    Runners m_runners;
+};
+
+} // namespace fuchsialb
--- a/packages/daemon/fuchsialb/src/Daemon/Daemon.cpp
+++ b/packages/daemon/fuchsialb/src/Daemon/Daemon.cpp
@@ -7,8 +7,8 @@
 #include "RequestTracer.h"
 #include "fuchsialb/Endpoint.h"
 #include "fuchsialb/Net.h"
-#include "fuchsialb/Platform.h"
 #include "fuchsialb/Router.h"
+#include "fuchsialb/Store.h"
 
 #include <absl/strings/str_split.h>
 
--- a/packages/daemon/fuchsialb/src/Daemon/PlatformLink.h
+++ b/packages/daemon/fuchsialb/src/Daemon/PlatformLink.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "fuchsialb/Net.h"
-#include "fuchsialb/Platform.h"
 #include "fuchsialb/Router.h"
+#include "fuchsialb/Store.h"
 
 #include <absl/status/statusor.h>
 
--- a/packages/daemon/fuchsialb/src/Daemon/Settings.cpp
+++ b/packages/daemon/fuchsialb/src/Daemon/Settings.cpp
@@ -3,7 +3,6 @@
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_split.h>
 #include <absl/time/time.h>
-#include <asio/ip/address.hpp>
 #include <cxxopts.hpp>
 #include <fmt/format.h>
 
@@ -41,6 +40,7 @@
         { "drain-timeout", "10m", "longest wait for work in progress at a stop, 0s to 24h" },
         { "trace-sample", "0.01", "fraction of requests whose spans are logged, 0 to 1" },
         { "log-rate", "100", "most log lines of one event in a second, 1 to 100000" },
+        { "gateway", "", "JSON settings file; runs as a gateway on the platform, and no other flag is read" },
         { "seed", "", "seed of the random generator, for repeatable runs; drawn when empty" },
     };
 
@@ -207,32 +207,6 @@
 
 } // namespace
 
-std::string SocketAddress::text() const
-{
-    return ip.find(':') == std::string::npos ? fmt::format("{}:{}", ip, port) : fmt::format("[{}]:{}", ip, port);
-}
-
-absl::StatusOr<SocketAddress> parseSocketAddress(const std::string& text)
-{
-    const std::size_t colon = text.rfind(':');
-    const absl::Status failure
-        = error(Reason::InvalidFlag, fmt::format("{}: accepted: IP:port with a port of 1 to 65535", text));
-    if (colon == std::string::npos)
-        return failure;
-    std::string ip = text.substr(0, colon);
-    const bool bracketed = ip.starts_with('[') && ip.ends_with(']');
-    if (bracketed)
-        ip = ip.substr(1, ip.size() - 2);
-    std::uint32_t port = 0;
-    if (!absl::SimpleAtoi(text.substr(colon + 1), &port) || port == 0 || port > UINT16_MAX)
-        return failure;
-    asio::error_code code;
-    const auto address = asio::ip::make_address(ip, code);
-    if (code || address.is_v6() != bracketed)
-        return failure;
-    return SocketAddress { ip, static_cast<std::uint16_t>(port) };
-}
-
 absl::StatusOr<CommandLine> parseCommandLine(const std::vector<std::string>& arguments,
     const std::function<std::optional<std::string>(const std::string&)>& environment)
 {
@@ -244,9 +218,9 @@
     try {
         const auto parsed = options.parse(static_cast<int>(raw.size()), raw.data());
         if (parsed.count("help"))
-            return CommandLine { std::nullopt, options.help() };
+            return CommandLine { std::nullopt, options.help(), {} };
         if (parsed.count("version"))
-            return CommandLine { std::nullopt, "fuchsialbd 0.1.0\n" };
+            return CommandLine { std::nullopt, "fuchsialbd 0.1.0\n", {} };
         if (!parsed.unmatched().empty())
             return error(Reason::InvalidFlag, fmt::format("{}: accepted: flags only", parsed.unmatched().front()));
         for (const FlagSpec& spec : flagSpecs) {
@@ -257,10 +231,12 @@
     } catch (const cxxopts::exceptions::exception& failure) {
         return error(Reason::InvalidFlag, failure.what());
     }
+    if (!values["gateway"].empty())
+        return CommandLine { std::nullopt, {}, values["gateway"] };
     auto settings = checkSettings(Reader(std::move(values)));
     if (!settings.ok())
         return settings.status();
-    return CommandLine { std::move(*settings), {} };
+    return CommandLine { std::move(*settings), {}, {} };
 }
 
 } // namespace fuchsialb
--- a/packages/daemon/fuchsialb/src/Daemon/Settings.h
+++ b/packages/daemon/fuchsialb/src/Daemon/Settings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fuchsialb/Base.h"
+#include "fuchsialb/Net.h"
 
 #include <absl/status/statusor.h>
 
@@ -12,15 +13,6 @@
 
 namespace fuchsialb {
 
-/// \brief An "IP:port" pair, checked.
-struct SocketAddress {
-    std::string ip;
-    std::uint16_t port = 0;
-
-    std::string text() const;
-    bool operator==(const SocketAddress&) const = default;
-};
-
 /// \brief Everything that a daemon is told at its start, checked.
 struct Settings {
     HostId host;
@@ -47,10 +39,12 @@
     std::optional<std::uint64_t> seed;
 };
 
-/// \brief Result of reading the command line: settings, or a text to print and exit.
+/// \brief Result of reading the command line: settings, a gateway's settings file, or a text to print and exit.
 struct CommandLine {
     std::optional<Settings> settings;
     std::string text;
+    /// Settings file of a gateway; empty for a daemon on the product's own platform.
+    std::string gatewaySettings;
 };
 
 /// \param environment Looks a variable up; none when it is not set.
@@ -58,7 +52,4 @@
 absl::StatusOr<CommandLine> parseCommandLine(const std::vector<std::string>& arguments,
     const std::function<std::optional<std::string>(const std::string&)>& environment);
 
-/// \return `InvalidFlag` unless `text` is an IPv4 or bracketed IPv6 address with a port of 1 to 65535.
-absl::StatusOr<SocketAddress> parseSocketAddress(const std::string& text);
-
 } // namespace fuchsialb
--- a/packages/daemon/main.cpp
+++ b/packages/daemon/main.cpp
@@ -1,3 +1,5 @@
+#include "fuchsialb/Gateway.h"
+#include "fuchsialb/Platform.h"
 #include "fuchsialb/src/Daemon/Daemon.h"
 #include "fuchsialb/src/Daemon/Settings.h"
 
@@ -20,6 +22,27 @@
     return value ? std::optional<std::string>(value) : std::nullopt;
 }
 
+/// Runs as a gateway on the users' platform, with the settings of a file.
+int runGateway(const std::string& file)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    const auto settings = fuchsialb::GatewaySettings::load(file);
+    if (!settings.ok()) {
+        fmt::print(stderr, "fuchsialbd: {}\n", std::string(settings.status().message()));
+        return exitUsage;
+    }
+    const fuchsialb::PlatformTranslator translator;
+    const auto gateway = fuchsialb::Gateway::create(*settings, translator,
+        [](fuchsialb::HttpClient& http, const std::string& address) -> std::unique_ptr<fuchsialb::KeyValueService> {
+            return std::make_unique<fuchsialb::PlatformStore>(http, address);
+        });
+    if (!gateway.ok()) {
+        fmt::print(stderr, "fuchsialbd: {}\n", std::string(gateway.status().message()));
+        return exitUsage;
+    }
+    return (*gateway)->run() ? EXIT_SUCCESS : exitNotDrained;
+}
+
 } // namespace
 
 int main(int argc, char** argv)
@@ -30,10 +53,12 @@
         fmt::print(stderr, "fuchsialbd: {}\n", std::string(commandLine.status().message()));
         return exitUsage;
     }
-    if (!commandLine->settings) {
+    if (!commandLine->settings && commandLine->gatewaySettings.empty()) {
         fmt::print("{}", commandLine->text);
         return EXIT_SUCCESS;
     }
+    if (!commandLine->gatewaySettings.empty())
+        return runGateway(commandLine->gatewaySettings);
     // Blocked before any thread starts, so that only the sigwait below receives them.
     sigset_t signals;
     sigemptyset(&signals);
--- /dev/null
+++ b/packages/gateway/fuchsialb/src/Gateway/EventSplitter.cpp
@@ -0,0 +1,52 @@
+#include "EventSplitter.h"
+
+#include <absl/strings/numbers.h>
+
+namespace fuchsialb {
+
+namespace {
+
+    constexpr std::string_view idField = "id:";
+
+    std::string_view withoutCarriageReturn(std::string_view line)
+    {
+        if (line.ends_with('\r'))
+            line.remove_suffix(1);
+        return line;
+    }
+
+    std::optional<std::uint64_t> idOf(std::string_view line)
+    {
+        if (!line.starts_with(idField))
+            return std::nullopt;
+        line.remove_prefix(idField.size());
+        std::uint64_t id = 0;
+        return absl::SimpleAtoi(std::string(line), &id) ? std::optional(id) : std::nullopt;
+    }
+
+} // namespace
+
+std::optional<EventSplitter::Event> EventSplitter::next()
+{
+    std::optional<std::uint64_t> id;
+    std::size_t start = 0;
+    bool hasField = false;
+    while (true) {
+        const std::size_t end = m_buffer.find('\n', start);
+        if (end == std::string::npos)
+            return std::nullopt;
+        const std::string_view line = withoutCarriageReturn(std::string_view(m_buffer).substr(start, end - start));
+        start = end + 1;
+        if (!line.empty()) {
+            hasField = true;
+            if (const auto read = idOf(line))
+                id = read;
+        } else if (hasField) {
+            Event event { m_buffer.substr(0, start), id };
+            m_buffer.erase(0, start);
+            return event;
+        }
+    }
+}
+
+} // namespace fuchsialb
--- /dev/null
+++ b/packages/gateway/fuchsialb/src/Gateway/GatewayMetrics.cpp
@@ -0,0 +1,52 @@
+#include "GatewayMetrics.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <iterator>
+
+namespace fuchsialb {
+
+void GatewayMetrics::count(std::string_view name, std::string_view label, std::string_view value)
+{
+    ++m_counters[fmt::format("fuchsialb_{}_total{{{}=\"{}\"}}", name, label, value)];
+}
+
+void GatewayMetrics::observe(std::string_view name, Duration value)
+{
+    const double seconds = std::chrono::duration<double>(value).count();
+    auto found = m_histograms.find(name);
+    if (found == m_histograms.end())
+        found = m_histograms.emplace(std::string(name), Histogram()).first;
+    Histogram& histogram = found->second;
+    const auto bucket = std::lower_bound(bounds.begin(), bounds.end(), seconds) - bounds.begin();
+    ++histogram.buckets[static_cast<std::size_t>(bucket)];
+    histogram.sum += seconds;
+    ++histogram.count;
+}
+
+void GatewayMetrics::set(std::string_view name, double value) { m_gauges.insert_or_assign(std::string(name), value); }
+
+std::string GatewayMetrics::text() const
+{
+    std::string text;
+    const auto out = std::back_inserter(text);
+    for (const auto& [name, value] : m_counters)
+        fmt::format_to(out, "{} {}\n", name, value);
+    for (const auto& [name, value] : m_gauges)
+        fmt::format_to(out, "fuchsialb_{} {}\n", name, value);
+    for (const auto& [name, histogram] : m_histograms) {
+        fmt::format_to(out, "# TYPE fuchsialb_{}_seconds histogram\n", name);
+        std::uint64_t below = 0;
+        for (std::size_t i = 0; i < bounds.size(); ++i) {
+            below += histogram.buckets[i];
+            fmt::format_to(out, "fuchsialb_{}_seconds_bucket{{le=\"{}\"}} {}\n", name, bounds[i], below);
+        }
+        fmt::format_to(out, "fuchsialb_{0}_seconds_bucket{{le=\"+Inf\"}} {1}\nfuchsialb_{0}_seconds_sum {2}\n", name,
+            histogram.count, histogram.sum);
+        fmt::format_to(out, "fuchsialb_{}_seconds_count {}\n", name, histogram.count);
+    }
+    return text;
+}
+
+} // namespace fuchsialb
--- /dev/null
+++ b/packages/gateway/fuchsialb/src/Gateway/GatewaySettings.cpp
@@ -0,0 +1,130 @@
+#include "GatewaySettings.h"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include <fstream>
+#include <sstream>
+
+namespace fuchsialb {
+
+namespace {
+
+    using nlohmann::json;
+
+    /// \brief Reads fields one after the other and keeps the first error.
+    class FieldReader {
+    public:
+        explicit FieldReader(const json& object)
+            : m_object(object)
+        {
+        }
+
+        std::string text(const char* name)
+        {
+            const auto found = m_object.find(name);
+            if (found != m_object.end() && found->is_string() && !found->get_ref<const std::string&>().empty())
+                return found->get<std::string>();
+            fail(name, "a text that is not empty");
+            return {};
+        }
+
+        SocketAddress address(const char* name)
+        {
+            auto parsed = parseSocketAddress(text(name));
+            if (parsed.ok())
+                return *std::move(parsed);
+            fail(name, "IP:port");
+            return {};
+        }
+
+        double number(const char* name, double otherwise)
+        {
+            const auto found = m_object.find(name);
+            if (found == m_object.end() || found->is_null())
+                return otherwise;
+            if (found->is_number() && found->get<double>() >= 0)
+                return found->get<double>();
+            fail(name, "a number of 0 or more");
+            return otherwise;
+        }
+
+        Duration milliseconds(const char* name, Duration otherwise)
+        {
+            const double value = number(name, static_cast<double>(otherwise.count()) / microsecondsPerMillisecond);
+            return Duration(static_cast<Duration::rep>(value * microsecondsPerMillisecond));
+        }
+
+        Duration seconds(const char* name, Duration otherwise)
+        {
+            const double value = number(name, static_cast<double>(otherwise.count()) / microsecondsPerSecond);
+            return Duration(static_cast<Duration::rep>(value * microsecondsPerSecond));
+        }
+
+        bool flag(const char* name, bool otherwise)
+        {
+            const auto found = m_object.find(name);
+            if (found == m_object.end() || found->is_null())
+                return otherwise;
+            if (found->is_boolean())
+                return found->get<bool>();
+            fail(name, "true or false");
+            return otherwise;
+        }
+
+        const absl::Status& status() const { return m_status; }
+
+    private:
+        static constexpr double microsecondsPerMillisecond = 1000;
+        static constexpr double microsecondsPerSecond = 1'000'000;
+
+        void fail(const char* name, const char* accepted)
+        {
+            if (m_status.ok())
+                m_status = error(Reason::InvalidInput, fmt::format("setting '{}': accepted is {}", name, accepted));
+        }
+
+        const json& m_object;
+        absl::Status m_status;
+    };
+
+} // namespace
+
+absl::StatusOr<GatewaySettings> GatewaySettings::parse(std::string_view text)
+{
+    const json object = json::parse(text, nullptr, false);
+    if (!object.is_object())
+        return error(Reason::InvalidInput, "the settings are not a JSON object");
+    FieldReader reader(object);
+    GatewaySettings settings;
+    settings.host = HostId(reader.text("host"));
+    settings.dataCentre = DataCentreId(reader.text("data_centre"));
+    settings.callers = reader.address("listen_callers");
+    settings.readiness = reader.address("listen_readiness");
+    settings.peers = reader.address("listen_peers");
+    settings.metrics = reader.address("listen_metrics");
+    settings.store = reader.address("store").text();
+    if (reader.flag("keys_need_proof", false))
+        settings.keyTrust = reader.milliseconds("key_trust_ms", std::chrono::seconds(5));
+    settings.stopGrace = reader.seconds("stop_grace_s", settings.stopGrace);
+    settings.drainBound = reader.milliseconds("drain_bound_ms", settings.drainBound);
+    settings.configurationBound = reader.milliseconds("configuration_bound_ms", settings.configurationBound);
+    settings.repeatRatio = reader.number("repeat_ratio", settings.repeatRatio);
+    settings.repeatWindow = reader.seconds("repeat_window_s", settings.repeatWindow);
+    settings.repeatAllowance = reader.number("repeat_allowance", settings.repeatAllowance);
+    if (!reader.status().ok())
+        return reader.status();
+    return settings;
+}
+
+absl::StatusOr<GatewaySettings> GatewaySettings::load(const std::string& file)
+{
+    std::ifstream stream(file);
+    if (!stream)
+        return error(Reason::InvalidInput, fmt::format("can't read settings file '{}'", file));
+    std::ostringstream text;
+    text << stream.rdbuf();
+    return parse(text.str());
+}
+
+} // namespace fuchsialb
--- /dev/null
+++ b/packages/gateway/fuchsialb/src/Gateway/PlacementDuty.cpp
@@ -0,0 +1,105 @@
+#include "PlacementDuty.h"
+
+#include <set>
+
+namespace fuchsialb {
+
+namespace {
+
+    // How long the set of runners must be unchanged before an empty fleet is placed: runners register within about a
+    // heartbeat of each other.
+    constexpr Duration settleTime = std::chrono::milliseconds(1500);
+    // Other hosts register within this time of the start, and the duty passes to its holder.
+    constexpr Duration registrationTime = std::chrono::milliseconds(2500);
+    constexpr Duration orderTimeout = std::chrono::milliseconds(1000);
+
+} // namespace
+
+void PlacementDuty::tick()
+{
+    const TimePoint now = m_context.now();
+    if (m_startedAt == TimePoint())
+        m_startedAt = now;
+    const auto table = m_context.configuration.table();
+    if (!table || m_context.stopping || now - m_startedAt < registrationTime)
+        return;
+    std::set<DataCentreId> dataCentres;
+    for (const auto& [id, runner] : m_context.runners.runners())
+        dataCentres.insert(runner.entry.dataCentre);
+    for (const DataCentreId& dataCentre : dataCentres) {
+        if (m_context.hosts.orderGiver(dataCentre) != m_context.settings.host) {
+            m_drivers.erase(dataCentre);
+            continue;
+        }
+        if (!m_drivers.contains(dataCentre)) {
+            m_drivers.emplace(dataCentre, PlacementDriver(dataCentre));
+            LogLine line("placement-taken");
+            line.add("data_centre", dataCentre.value());
+            m_context.log.log(line);
+        }
+        for (const auto& [name, service] : table->services) {
+            if (service.engine)
+                serve(dataCentre, service, now);
+        }
+    }
+}
+
+void PlacementDuty::serve(const DataCentreId& dataCentre, const ServiceProfile& service, TimePoint now)
+{
+    PlacementDriver& driver = m_drivers.at(dataCentre);
+    for (const PlaceOrder& order : driver.due(m_context.runners, service.name, *service.engine, now, settleTime))
+        give(dataCentre, order);
+    for (const EndpointId& runner : driver.overdue(now))
+        ask(runner);
+}
+
+void PlacementDuty::give(const DataCentreId& dataCentre, const PlaceOrder& order)
+{
+    HttpRequest request = m_context.translator.placeRequest(order);
+    request.timeout = orderTimeout;
+    request.freshConnection = true;
+    const auto conclude = [this, dataCentre, order](OrderOutcome outcome) {
+        LogLine line("placement-ordered");
+        line.add("runner", order.runner.value()).add("first", order.layers.first).add("end", order.layers.end);
+        line.add("expected_orders", static_cast<std::int64_t>(order.expectedOrders));
+        line.add("outcome", static_cast<std::int64_t>(outcome));
+        m_context.log.log(line);
+        const auto driver = m_drivers.find(dataCentre);
+        if (driver != m_drivers.end())
+            driver->second.answered(order.runner, outcome, m_context.now());
+        if (outcome == OrderOutcome::Refused || outcome == OrderOutcome::Unknown)
+            ask(order.runner);
+    };
+    HttpHandlers handlers;
+    handlers.onResponse
+        = [this, conclude](const HttpResponse& response) { conclude(m_context.translator.placeOutcome(response)); };
+    handlers.onFailure = [conclude](const HttpFailure&) { conclude(OrderOutcome::Unknown); };
+    m_context.metrics.count("orders", "kind", "place");
+    if (!m_context.http.start(std::move(request), std::move(handlers)).ok())
+        conclude(OrderOutcome::Unknown);
+}
+
+void PlacementDuty::ask(const EndpointId& runner)
+{
+    const RunnerDirectory::Runner* known = m_context.runners.find(runner);
+    if (!known)
+        return;
+    HttpRequest request = m_context.translator.reportRequest(known->entry.address);
+    request.timeout = orderTimeout;
+    HttpHandlers handlers;
+    handlers.onResponse = [this, runner](const HttpResponse& response) {
+        const auto report = m_context.translator.report(response);
+        const RunnerDirectory::Runner* entry = m_context.runners.find(runner);
+        if (!report.ok() || !entry)
+            return;
+        RunnerEntry changed = entry->entry;
+        changed.layers = report->layers;
+        changed.ordersBegun = report->ordersBegun;
+        if (report->startedAt != 0)
+            changed.startedAt = report->startedAt;
+        m_context.runners.put(std::move(changed));
+    };
+    static_cast<void>(m_context.http.start(std::move(request), std::move(handlers)));
+}
+
+} // namespace fuchsialb
--- /dev/null
+++ b/packages/gateway/fuchsialb/src/Gateway/StoreSession.cpp
@@ -0,0 +1,286 @@
+#include "StoreSession.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace fuchsialb {
+
+namespace {
+
+    using nlohmann::json;
+
+    constexpr std::string_view hostsPrefix = "fuchsialb/hosts/";
+    // A host that is gone leaves the list after this time; its duties pass to the next one.
+    constexpr Duration hostLease = std::chrono::seconds(5);
+    constexpr Duration renewPeriod = std::chrono::milliseconds(1500);
+    constexpr Duration firstRetry = std::chrono::milliseconds(150);
+    constexpr std::uint32_t mostDoublings = 3;
+    // The configuration's watch also proves that keys are still valid, so it ends well inside the time that keys are
+    // trusted without proof.
+    constexpr Duration configurationWait = std::chrono::milliseconds(2000);
+
+} // namespace
+
+PrefixFollower::PrefixFollower(GatewayContext& context, Options options, OnItems onItems)
+    : m_context(context)
+    , m_options(std::move(options))
+    , m_onItems(std::move(onItems))
+    , m_timer(context.loop)
+{
+}
+
+void PrefixFollower::again(Duration delay, bool listing)
+{
+    m_timer.expires_after(delay);
+    m_timer.async_wait([this, listing](const asio::error_code& failure) {
+        if (failure)
+            return;
+        if (listing)
+            list();
+        else
+            watch();
+    });
+}
+
+void PrefixFollower::failed(const absl::Status& status)
+{
+    if (m_reachable || !m_everReachable) {
+        LogLine line("store-lost");
+        line.add("prefix", m_options.name).add("cause", reasonName(reasonOf(status)));
+        line.add("as_of", static_cast<std::int64_t>(m_asOf.value()));
+        m_context.log.log(line);
+        m_everReachable = true;
+    }
+    m_reachable = false;
+    m_context.metrics.count("store_failures", "prefix", m_options.name);
+    const bool listing = m_asOf == KeyVersion() || reasonOf(status) == Reason::StoreBehind;
+    if (reasonOf(status) == Reason::StoreBehind)
+        m_asOf = KeyVersion();
+    const Duration delay = firstRetry * (1U << std::min(m_failures, mostDoublings));
+    ++m_failures;
+    again(
+        delay + Duration(static_cast<Duration::rep>(m_context.random.below(static_cast<std::uint64_t>(delay.count())))),
+        listing);
+}
+
+void PrefixFollower::answered()
+{
+    if (!m_reachable) {
+        LogLine line("store-reached");
+        line.add("prefix", m_options.name);
+        m_context.log.log(line);
+    }
+    m_reachable = true;
+    m_everReachable = true;
+    m_failures = 0;
+}
+
+void PrefixFollower::list()
+{
+    const Duration sentAt = bootTime();
+    m_context.metrics.count("store_calls", "kind", "list");
+    m_context.store.list(m_options.prefix, [this, sentAt](absl::StatusOr<KeyListing> listing) {
+        if (!listing.ok()) {
+            failed(listing.status());
+            return;
+        }
+        answered();
+        m_asOf = listing->asOf;
+        m_onItems(*listing, true, sentAt);
+        watch();
+    });
+}
+
+void PrefixFollower::watch()
+{
+    const Duration sentAt = bootTime();
+    m_context.metrics.count("store_calls", "kind", "watch");
+    m_context.store.watch(m_options.prefix, m_asOf, m_options.wait, [this, sentAt](absl::StatusOr<KeyListing> listing) {
+        if (!listing.ok()) {
+            failed(listing.status());
+            return;
+        }
+        answered();
+        const Duration elapsed = bootTime() - sentAt;
+        // Without changes the service has waited for the whole time after the call arrived.
+        const bool waited = listing->items.empty() && elapsed >= m_options.wait;
+        m_asOf = std::max(m_asOf, listing->asOf);
+        m_onItems(*listing, false, waited ? sentAt + m_options.wait : sentAt);
+        again(std::max(Duration(0), m_options.spacing - elapsed), false);
+    });
+}
+
+StoreSession::StoreSession(GatewayContext& context)
+    : m_context(context)
+    , m_configuration(context,
+          { "configuration", context.translator.configurationKey(), configurationWait, std::chrono::milliseconds(50) },
+          [this](const KeyListing& listing, bool, Duration provenAt) { takeConfiguration(listing, provenAt); })
+    , m_runners(context,
+          { "runners", context.translator.runnersPrefix(), std::chrono::seconds(20), std::chrono::milliseconds(500) },
+          [this](const KeyListing& listing, bool whole, Duration) { takeRunners(listing, whole); })
+    , m_hosts(context, { "hosts", std::string(hostsPrefix), std::chrono::seconds(25), std::chrono::milliseconds(1500) },
+          [this](const KeyListing& listing, bool whole, Duration) { takeHosts(listing, whole); })
+    , m_timer(context.loop)
+{
+}
+
+void StoreSession::start()
+{
+    m_configuration.start();
+    m_runners.start();
+    registerHost();
+    m_hosts.start();
+}
+
+std::string StoreSession::hostKey() const { return std::string(hostsPrefix) + m_context.settings.host.value(); }
+
+void StoreSession::takeConfiguration(const KeyListing& listing, Duration provenAt)
+{
+    for (const KeyItem& item : listing.items) {
+        if (item.key != m_context.translator.configurationKey() || item.removed)
+            continue;
+        auto table = m_context.translator.routingTable(item.value);
+        if (!table.ok()) {
+            LogLine line("configuration-unreadable");
+            line.add("cause", std::string(table.status().message()));
+            m_context.log.log(line);
+            return;
+        }
+        const ConfigurationVersion version = table->version;
+        const bool taken
+            = m_context.configuration.accept(std::make_shared<const RoutingTable>(*std::move(table)), provenAt);
+        LogLine line(taken ? "configuration-in-force" : "configuration-passed-over");
+        line.add("version", static_cast<std::int64_t>(version.value()));
+        line.add("as_of", static_cast<std::int64_t>(listing.asOf.value()));
+        m_context.log.log(line);
+    }
+    m_context.configuration.confirm(m_context.configuration.version(), provenAt);
+    m_context.metrics.set("configuration_version", static_cast<double>(m_context.configuration.version().value()));
+}
+
+void StoreSession::takeRunners(const KeyListing& listing, bool whole)
+{
+    std::vector<RunnerEntry> entries;
+    for (const KeyItem& item : listing.items) {
+        if (item.removed) {
+            m_context.runners.remove(m_context.translator.runnerId(item.key));
+        } else if (auto entry = m_context.translator.runnerEntry(item.key, item.value); entry.ok()) {
+            const RunnerDirectory::Runner* known = m_context.runners.find(entry->id);
+            if (!known || known->entry.layers != entry->layers || known->entry.draining != entry->draining) {
+                LogLine line("runner-changed");
+                line.add("runner", entry->id.value()).add("draining", entry->draining ? 1 : 0);
+                line.add("first", entry->layers.first).add("end", entry->layers.end);
+                line.add("as_of", static_cast<std::int64_t>(listing.asOf.value()));
+                m_context.log.log(line);
+            }
+            if (whole)
+                entries.push_back(*std::move(entry));
+            else
+                m_context.runners.put(*std::move(entry));
+        } else {
+            // An entry that can't be used names no runner; what it replaced is no longer true.
+            m_context.runners.remove(m_context.translator.runnerId(item.key));
+            LogLine line("runner-unreadable");
+            line.add("key", item.key).add("cause", std::string(entry.status().message()));
+            m_context.log.log(line);
+        }
+    }
+    if (whole)
+        m_context.runners.replaceAll(entries);
+    m_context.registryVersion = std::max(m_context.registryVersion, listing.asOf);
+    m_context.registryReadAt = m_context.now();
+}
+
+void StoreSession::takeHosts(const KeyListing& listing, bool whole)
+{
+    std::vector<RegisteredHost> hosts;
+    for (const KeyItem& item : listing.items) {
+        const HostId id(item.key.substr(std::min(item.key.size(), hostsPrefix.size())));
+        if (item.removed) {
+            m_context.hosts.remove(id);
+            m_context.ledger.removePeer(id);
+            LogLine line("host-left");
+            line.add("host", id.value()).add("as_of", static_cast<std::int64_t>(listing.asOf.value()));
+            m_context.log.log(line);
+            continue;
+        }
+        const json object = json::parse(item.value, nullptr, false);
+        if (!object.is_object())
+            continue;
+        RegisteredHost host { id, DataCentreId(object.value("data_centre", "")), object.value("address", "") };
+        if (whole)
+            hosts.push_back(std::move(host));
+        else
+            m_context.hosts.put(std::move(host));
+    }
+    if (whole)
+        m_context.hosts.replaceAll(hosts);
+    if (std::none_of(m_context.hosts.hosts().begin(), m_context.hosts.hosts().end(),
+            [&](const auto& item) { return item.first == m_context.settings.host; })) {
+        m_context.hosts.put(
+            { m_context.settings.host, m_context.settings.dataCentre, m_context.settings.peers.text() });
+    }
+}
+
+void StoreSession::registerHost()
+{
+    if (m_leaving)
+        return;
+    m_context.store.createLease(hostLease, [this](absl::StatusOr<LeaseId> lease) {
+        if (!lease.ok()) {
+            m_lease = LeaseId();
+            renewLater();
+            return;
+        }
+        m_lease = *lease;
+        const json value = { { "data_centre", m_context.settings.dataCentre.value() },
+            { "address", m_context.settings.peers.text() } };
+        m_context.store.put(hostKey(), value.dump(), m_lease, [this](const absl::Status& status) {
+            LogLine line("host-registered");
+            line.add("status", reasonName(reasonOf(status)));
+            m_context.log.log(line);
+            if (!status.ok())
+                m_lease = LeaseId();
+            renewLater();
+        });
+    });
+}
+
+void StoreSession::renewLater()
+{
+    m_timer.expires_after(renewPeriod);
+    m_timer.async_wait([this](const asio::error_code& failure) {
+        if (!failure)
+            renew();
+    });
+}
+
+void StoreSession::renew()
+{
+    if (m_leaving)
+        return;
+    if (m_lease == LeaseId()) {
+        registerHost();
+        return;
+    }
+    m_context.store.renewLease(m_lease, [this](const absl::Status& status) {
+        if (reasonOf(status) == Reason::StoreConflict)
+            m_lease = LeaseId();
+        renewLater();
+    });
+}
+
+void StoreSession::leave()
+{
+    m_leaving = true;
+    if (m_lease == LeaseId())
+        return;
+    m_context.store.endLease(m_lease, [this](const absl::Status& status) {
+        LogLine line("host-unregistered");
+        line.add("status", reasonName(reasonOf(status)));
+        m_context.log.log(line);
+    });
+}
+
+} // namespace fuchsialb
--- /dev/null
+++ b/packages/gateway/fuchsialb/src/Gateway/StreamCall.cpp
@@ -0,0 +1,409 @@
+#include "StreamCall.h"
+
+namespace fuchsialb {
+
+namespace {
+
+    // A runner that left a stream without answer is passed over until the registry has had time to say what became of
+    // it: entries last for three heartbeats.
+    constexpr Duration stageSuspension = std::chrono::seconds(4);
+    // A stage that refused, for example for a lack of memory, is likely to take requests again soon.
+    constexpr Duration refusalSuspension = std::chrono::milliseconds(300);
+    // Longest wait for another path in mid-stream; callers leave after a pause of two seconds.
+    constexpr Duration resumePatience = std::chrono::milliseconds(1500);
+    // A stream that goes on elsewhere had its room already, and is let in slightly above the usual limit.
+    constexpr double resumeCacheLimit = 1.05;
+    // An event that does not end within this size is not an event.
+    constexpr std::size_t maxEventBytes = 1'048'576;
+    constexpr Duration reportTimeout = std::chrono::milliseconds(400);
+    constexpr std::uint32_t misdirected = 421;
+
+} // namespace
+
+StreamCall::StreamCall(GatewayContext& context, MatchedRequest matched, std::shared_ptr<HttpReply> reply,
+    const Duration& meanDuration, OnRunnerLost onRunnerLost)
+    : Call(context, std::move(matched), std::move(reply))
+    , m_meanDuration(meanDuration)
+    , m_onRunnerLost(std::move(onRunnerLost))
+    , m_lastEvent(m_matched.request.lastEvent)
+{
+}
+
+double StreamCall::expectedTokens() const
+{
+    const CallerRequest& request = m_matched.request;
+    std::int64_t output = request.likelyOutputTokens.value_or(
+        m_matched.service->engine ? m_matched.service->engine->usualOutputTokens : 0);
+    if (request.mostOutputTokens > 0)
+        output = std::min(output, request.mostOutputTokens);
+    return static_cast<double>(request.promptTokens + output);
+}
+
+void StreamCall::start()
+{
+    m_reply->onClosed([weak = weak_from_this()] {
+        if (const auto self = weak.lock())
+            static_cast<StreamCall&>(*self).callerLeft();
+    });
+    const TimePoint now = m_context.now();
+    // Requests that wait must not be overtaken by new ones of the same or a lower urgency.
+    if (!m_context.waiting.waitsBefore(m_matched.urgency)) {
+        if (auto path = findPath(now)) {
+            run(*std::move(path));
+            return;
+        }
+    }
+    wait(AdmissionPolicy::patience(m_matched.route->latencyObjective));
+}
+
+void StreamCall::wait(Duration patience)
+{
+    m_waiting = true;
+    // In mid-stream a caller waits with an answer that has begun, so it goes first.
+    const std::uint32_t urgency = m_begun ? 0 : m_matched.urgency;
+    m_context.waiting.push(key(), { urgency, m_begun || m_matched.returning, m_context.now() + patience });
+}
+
+std::optional<Path> StreamCall::findPath(TimePoint now) const
+{
+    if (!m_matched.service->engine) {
+        const RunnerDirectory::Runner* best = nullptr;
+        for (const auto& [id, runner] : m_context.runners.runners()) {
+            if (runner.entry.service != m_matched.service->name || !runner.usable(now) || m_avoided.contains(id))
+                continue;
+            if (!best || m_context.ledger.at(id).first < m_context.ledger.at(best->entry.id).first)
+                best = &runner;
+        }
+        return best ? std::optional(Path { { best->entry.id, best->entry.address, {} } }) : std::nullopt;
+    }
+    const PathFinder finder(m_context.runners, m_context.ledger);
+    const double limit = m_runs > 0 ? resumeCacheLimit : AdmissionPolicy::cacheLimit(m_matched.urgency);
+    return finder.find({ m_matched.service->name, m_context.settings.dataCentre, expectedTokens(), limit, m_avoided },
+        *m_matched.service->engine, now);
+}
+
+bool StreamCall::admit()
+{
+    if (isOver() || !m_waiting)
+        return true;
+    auto path = findPath(m_context.now());
+    if (!path)
+        return false;
+    m_waiting = false;
+    m_context.waiting.remove(key());
+    run(*std::move(path));
+    return true;
+}
+
+void StreamCall::waitedTooLong()
+{
+    m_waiting = false;
+    if (m_begun || m_mayHaveRun)
+        giveUp("no-path-to-go-on");
+    else
+        refuse("no-room");
+}
+
+void StreamCall::refuse(std::string_view cause)
+{
+    const TimePoint now = m_context.now();
+    const Duration left = timeLeft(now);
+    answer(OwnAnswer::NotRun, cause, AdmissionPolicy::retryAfter(m_meanDuration, left, m_context.random.unit()));
+}
+
+void StreamCall::run(Path path)
+{
+    const TimePoint now = m_context.now();
+    m_path = std::move(path);
+    m_context.ledger.commit(m_path, expectedTokens());
+    ++m_run;
+    ++m_runs;
+    m_badAnswer = false;
+    m_splitter = {};
+    m_stalls.emplace(StallDetector::Limits {}, now);
+    if (m_runs == 1)
+        m_startedAt = now;
+    RunnerCall call;
+    call.runner = m_path.front().runner;
+    call.address = m_path.front().address;
+    call.timeLeft = timeLeft(now);
+    call.organisation = m_matched.organisation;
+    call.urgency = m_matched.urgency;
+    if (m_matched.service->engine)
+        call.path = m_path;
+    call.lastEvent = m_lastEvent;
+    call.freshConnection = !m_matched.route->mayRepeat();
+    LogLine line = logLine("request-sent");
+    line.add("run", static_cast<std::int64_t>(m_runs));
+    line.add("first", call.runner.value());
+    line.add("stages", static_cast<std::int64_t>(m_path.size()));
+    line.add("registry", static_cast<std::int64_t>(m_context.registryVersion.value()));
+    m_context.log.log(line);
+    const auto started = m_context.http.start(m_context.translator.runnerRequest(m_matched.request, call), handlers());
+    if (started.ok()) {
+        m_exchange = *started;
+        return;
+    }
+    leavePath();
+    failOver("client-full", false);
+}
+
+HttpHandlers StreamCall::handlers()
+{
+    const auto self = std::static_pointer_cast<StreamCall>(shared_from_this());
+    const std::uint64_t run = m_run;
+    const auto current = [self, run] { return !self->isOver() && self->m_run == run && self->m_exchange.has_value(); };
+    HttpHandlers handlers;
+    handlers.onHead = [self, current](const HttpResponse& head) { return current() && self->takeHead(head); };
+    handlers.onPiece = [self, current](std::string_view piece) {
+        if (current())
+            self->takePiece(piece);
+    };
+    handlers.onResponse = [self, current](HttpResponse response) {
+        if (current())
+            self->takeResponse(std::move(response));
+    };
+    handlers.onFailure = [self, current](const HttpFailure& failure) {
+        if (current())
+            self->takeFailure(failure);
+    };
+    return handlers;
+}
+
+bool StreamCall::takeHead(const HttpResponse& head)
+{
+    const RunnerAnswer answer = m_context.translator.runnerAnswer(head);
+    m_badAnswer = !answer.sealed || answer.encoded || answer.requestId != m_matched.request.id;
+    if (m_badAnswer)
+        return false;
+    if (!m_head)
+        m_head = head;
+    return true;
+}
+
+void StreamCall::takePiece(std::string_view piece)
+{
+    m_splitter.add(piece);
+    if (m_splitter.restSize() > maxEventBytes)
+        return;
+    const TimePoint now = m_context.now();
+    std::string text;
+    while (auto event = m_splitter.next()) {
+        if (event->id && m_lastEvent && *event->id <= *m_lastEvent)
+            continue;
+        if (event->id)
+            m_lastEvent = event->id;
+        text += event->text;
+    }
+    if (text.empty())
+        return;
+    m_stalls->event(now);
+    if (!m_begun) {
+        m_begun = true;
+        m_context.metrics.observe("first_event", now - m_matched.receivedAt);
+        if (m_context.stopping)
+            m_reply->closeConnection();
+        m_reply->begin(m_head->status, m_context.translator.callerHeaders(*m_head));
+    }
+    m_reply->write(std::move(text));
+}
+
+void StreamCall::takeResponse(HttpResponse response)
+{
+    const RunnerAnswer answer = m_context.translator.runnerAnswer(response);
+    const bool succeeded = response.status >= 200 && response.status < 300;
+    if (succeeded && m_head && !m_badAnswer) {
+        if (m_splitter.hasRest()) {
+            blame(m_path.front().runner, "event-cut");
+            leavePath();
+            failOver("event-cut", true);
+            return;
+        }
+        for (const PathStage& stage : m_path)
+            m_context.runners.succeeded(stage.runner);
+        m_servedDuration = m_context.now() - m_startedAt;
+        leavePath();
+        if (!m_begun)
+            m_reply->begin(response.status, m_context.translator.callerHeaders(response));
+        m_reply->finish();
+        completed(response.status);
+        return;
+    }
+    if (answer.notRun || response.status == misdirected) {
+        takeRefusal(answer);
+        return;
+    }
+    const bool ownAnswer = answer.sealed && !answer.encoded && answer.requestId == m_matched.request.id;
+    leavePath();
+    if (m_begun || !ownAnswer) {
+        failOver("runner-error", true);
+        return;
+    }
+    response.headers = m_context.translator.callerHeaders(response);
+    if (m_context.stopping)
+        m_reply->closeConnection();
+    const std::uint32_t status = response.status;
+    m_reply->send(std::move(response));
+    completed(status);
+}
+
+void StreamCall::takeRefusal(const RunnerAnswer& answer)
+{
+    const RunnerDirectory::Runner* fault = answer.faultAt.empty() ? nullptr : m_context.runners.at(answer.faultAt);
+    const EndpointId runner = fault ? fault->entry.id : m_path.front().runner;
+    m_context.runners.failed(runner, m_context.now(), refusalSuspension);
+    m_avoided.insert(runner);
+    LogLine line = logLine("run-refused");
+    line.add("runner", runner.value());
+    m_context.log.log(line);
+    leavePath();
+    failOver("refused-by-runner", false);
+}
+
+void StreamCall::takeFailure(const HttpFailure& failure)
+{
+    const EndpointId first = m_path.front().runner;
+    blame(first, reasonName(reasonOf(failure.status)));
+    leavePath();
+    failOver(reasonName(reasonOf(failure.status)), !failure.notSent);
+}
+
+void StreamCall::blame(const EndpointId& runner, std::string_view cause)
+{
+    m_context.runners.failed(runner, m_context.now(), stageSuspension);
+    m_avoided.insert(runner);
+    LogLine line = logLine("runner-blamed");
+    line.add("runner", runner.value()).add("cause", cause);
+    m_context.log.log(line);
+    m_context.metrics.count("runners_blamed", "cause", cause);
+}
+
+void StreamCall::leavePath()
+{
+    m_exchange.reset();
+    m_context.ledger.release(std::exchange(m_path, {}), expectedTokens());
+}
+
+void StreamCall::failOver(std::string_view cause, bool mayHaveRun)
+{
+    if (isOver())
+        return;
+    m_mayHaveRun = m_mayHaveRun || mayHaveRun;
+    const bool allowed = !m_mayHaveRun || (m_matched.route->mayRepeat() && m_runs < m_matched.route->maxAttempts + 1);
+    const TimePoint now = m_context.now();
+    if (!allowed || timeLeft(now) == Duration::zero() || !m_context.repeats.take(now, m_context.hosts.hosts().size())) {
+        giveUp(cause);
+        return;
+    }
+    if (auto path = findPath(now))
+        run(*std::move(path));
+    else
+        wait(m_begun ? resumePatience : AdmissionPolicy::patience(m_matched.route->latencyObjective));
+}
+
+void StreamCall::giveUp(std::string_view cause)
+{
+    if (m_begun)
+        cut(cause);
+    else if (m_mayHaveRun)
+        answer(OwnAnswer::Failed, cause);
+    else
+        refuse(cause);
+}
+
+void StreamCall::tick(TimePoint now)
+{
+    if (isOver())
+        return;
+    if (now >= m_matched.deadline) {
+        if (m_begun)
+            cut("deadline");
+        else
+            answer(m_runs > 0 ? OwnAnswer::TimedOut : OwnAnswer::NotRun, "deadline");
+        return;
+    }
+    if (!m_exchange || !m_stalls)
+        return;
+    switch (m_stalls->check(now)) {
+    case StallDetector::Verdict::Flowing:
+        return;
+    case StallDetector::Verdict::Ask:
+        askForStall();
+        return;
+    case StallDetector::Verdict::GiveUp:
+        // Without another run the rest of the wait costs nothing.
+        if (!m_matched.route->mayRepeat() || m_runs > m_matched.route->maxAttempts)
+            return;
+        stopRunner();
+        failOver("stalled", true);
+        return;
+    }
+}
+
+void StreamCall::askForStall()
+{
+    const auto self = std::static_pointer_cast<StreamCall>(shared_from_this());
+    const std::uint64_t run = m_run;
+    HttpRequest request = m_context.translator.reportRequest(m_path.front().address);
+    request.timeout = reportTimeout;
+    HttpHandlers handlers;
+    handlers.onResponse = [self, run](const HttpResponse& response) {
+        if (self->isOver() || self->m_run != run || !self->m_exchange)
+            return;
+        const auto report = self->m_context.translator.report(response);
+        if (report.ok())
+            self->takeReport(*report);
+    };
+    handlers.onFailure = [self, run](const HttpFailure& failure) {
+        if (self->isOver() || self->m_run != run || !self->m_exchange || reasonOf(failure.status) == Reason::Cancelled)
+            return;
+        const EndpointId first = self->m_path.front().runner;
+        self->blame(first, "silent");
+        self->m_onRunnerLost(first);
+    };
+    static_cast<void>(m_context.http.start(std::move(request), std::move(handlers)));
+}
+
+void StreamCall::takeReport(const RunnerReport& report)
+{
+    for (const StalledRequest& stalled : report.stalled) {
+        if (stalled.requestId != m_matched.request.id)
+            continue;
+        const RunnerDirectory::Runner* runner = m_context.runners.at(stalled.address);
+        if (!runner)
+            return;
+        const EndpointId lost = runner->entry.id;
+        blame(lost, "stalled");
+        m_onRunnerLost(lost);
+        return;
+    }
+}
+
+void StreamCall::runnerLost(const EndpointId& runner)
+{
+    const bool onPath
+        = std::any_of(m_path.begin(), m_path.end(), [&](const PathStage& stage) { return stage.runner == runner; });
+    // Events that still flow are not behind the lost runner.
+    constexpr Duration flowing = std::chrono::milliseconds(250);
+    if (!onPath || isOver() || !m_exchange || m_context.now() - m_stalls->lastEvent() < flowing
+        || !m_matched.route->mayRepeat())
+        return;
+    m_avoided.insert(runner);
+    stopRunner();
+    failOver("runner-lost", true);
+}
+
+void StreamCall::stopRunner()
+{
+    if (m_waiting) {
+        m_context.waiting.remove(key());
+        m_waiting = false;
+    }
+    if (!m_exchange)
+        return;
+    const HttpExchangeId exchange = *m_exchange;
+    leavePath();
+    m_context.http.cancel(exchange);
+}
+
+} // namespace fuchsialb
--- /dev/null
+++ b/packages/gateway/fuchsialb/src/Gateway/StreamCall.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "Call.h"
+#include "EventSplitter.h"
+
+#include <set>
+
+namespace fuchsialb {
+
+/// \brief A request answered by a stream of events, over the runners that hold the model's layers.
+///
+/// A stream that breaks off or stalls goes on at other runners after its last whole event, inside the same answer, when
+/// its route allows that.
+class StreamCall final : public Call {
+public:
+    using OnRunnerLost = std::function<void(const EndpointId& runner)>;
+
+    StreamCall(GatewayContext& context, MatchedRequest matched, std::shared_ptr<HttpReply> reply,
+        const Duration& meanDuration, OnRunnerLost onRunnerLost);
+
+    void start() override;
+    void tick(TimePoint now) override;
+    bool admit() override;
+    void waitedTooLong() override;
+    void runnerLost(const EndpointId& runner) override;
+
+    /// \return How long the request kept its room, for requests that were served.
+    std::optional<Duration> servedDuration() const { return m_servedDuration; }
+
+private:
+    void stopRunner() override;
+
+    void wait(Duration patience);
+    std::optional<Path> findPath(TimePoint now) const;
+    void run(Path path);
+    HttpHandlers handlers();
+    bool takeHead(const HttpResponse& head);
+    void takePiece(std::string_view piece);
+    void takeResponse(HttpResponse response);
+    void takeFailure(const HttpFailure& failure);
+    void takeRefusal(const RunnerAnswer& answer);
+    void askForStall();
+    void takeReport(const RunnerReport& report);
+    /// Frees the room of the path and forgets the exchange.
+    void leavePath();
+    /// Goes on at other runners, or ends the request.
+    void failOver(std::string_view cause, bool mayHaveRun);
+    void giveUp(std::string_view cause);
+    void blame(const EndpointId& runner, std::string_view cause);
+    void refuse(std::string_view cause);
+    double expectedTokens() const;
+
+    const Duration& m_meanDuration;
+    OnRunnerLost m_onRunnerLost;
+    Path m_path;
+    std::optional<HttpExchangeId> m_exchange;
+    /// Rises with each run, so that late callbacks of an earlier one are told apart.
+    std::uint64_t m_run = 0;
+    std::uint32_t m_runs = 0;
+    bool m_mayHaveRun = false;
+    bool m_begun = false;
+    bool m_badAnswer = false;
+    std::optional<std::uint64_t> m_lastEvent;
+    EventSplitter m_splitter;
+    std::optional<HttpResponse> m_head;
+    std::set<EndpointId> m_avoided;
+    std::optional<StallDetector> m_stalls;
+    TimePoint m_startedAt {};
+    bool m_waiting = false;
+    std::optional<Duration> m_servedDuration;
+};
+
+} // namespace fuchsialb
--- a/packages/net/fuchsialb/Net.h
+++ b/packages/net/fuchsialb/Net.h
@@ -8,4 +8,5 @@
 #include "src/Net/Logger.h"
 #include "src/Net/PeerTransport.h"
 #include "src/Net/Ring.h"
+#include "src/Net/SocketAddress.h"
 #include "src/Net/SystemClock.h"
--- a/packages/net/fuchsialb/src/Net/CurlExchange.cpp
+++ b/packages/net/fuchsialb/src/Net/CurlExchange.cpp
@@ -70,6 +70,8 @@
     const auto set
         = [&](CURLoption option, auto value) { taken = curl_easy_setopt(m_easy, option, value) == CURLE_OK && taken; };
     set(CURLOPT_URL, m_request.url.c_str());
+    if (!m_request.target.empty())
+        set(CURLOPT_REQUEST_TARGET, m_request.target.c_str());
     set(CURLOPT_PRIVATE, this);
     set(CURLOPT_NOSIGNAL, 1L);
     // Settings of the environment must not redirect calls between hosts and endpoints.
@@ -113,10 +115,14 @@
     // Waiting for "100 Continue" would add up to a second to a large body.
     m_headers = curl_slist_append(m_headers, "Expect:");
     bool hasType = false;
+    bool hasAccept = false;
     for (const auto& [name, value] : m_request.headers) {
         hasType = hasType || lowerCase(name) == "content-type";
+        hasAccept = hasAccept || lowerCase(name) == "accept";
         m_headers = curl_slist_append(m_headers, headerLine(name, value).c_str());
     }
+    if (!hasAccept)
+        m_headers = curl_slist_append(m_headers, "Accept:");
     if (!hasType)
         m_headers = curl_slist_append(m_headers, "Content-Type:");
     curl_easy_setopt(m_easy, CURLOPT_HTTPHEADER, m_headers);
@@ -174,6 +180,8 @@
     m_lastArrival = SystemClock().now();
     const bool succeeded = m_response.status >= 200 && m_response.status < 300;
     if (m_handlers.onPiece && succeeded) {
+        if (m_handlers.onHead && !std::exchange(m_headPassed, true) && !m_handlers.onHead(m_response))
+            return false;
         m_handlers.onPiece(piece);
         return true;
     }
--- a/packages/net/fuchsialb/src/Net/CurlExchange.h
+++ b/packages/net/fuchsialb/src/Net/CurlExchange.h
@@ -59,6 +59,7 @@
     TimePoint m_lastArrival;
     std::uint32_t m_sends = 0;
     bool m_bodyTooLarge = false;
+    bool m_headPassed = false;
 };
 
 } // namespace fuchsialb::internal
--- a/packages/net/fuchsialb/src/Net/HttpClient.cpp
+++ b/packages/net/fuchsialb/src/Net/HttpClient.cpp
@@ -1,5 +1,6 @@
 #include "HttpClient.h"
 
+#include "AsioCurlClient.h"
 #include "CurlExchange.h"
 #include "SystemClock.h"
 
@@ -214,4 +215,13 @@
     return client;
 }
 
+absl::StatusOr<std::unique_ptr<HttpClient>> HttpClient::create(Options options, asio::io_context& context)
+{
+    initialiseCurl();
+    auto client = std::make_unique<internal::AsioCurlClient>(options, context);
+    if (!client->prepare())
+        return error(Reason::Internal, "curl can't be initialised");
+    return client;
+}
+
 } // namespace fuchsialb
--- a/packages/net/fuchsialb/src/Net/HttpClient.h
+++ b/packages/net/fuchsialb/src/Net/HttpClient.h
@@ -4,6 +4,7 @@
 
 #include <absl/status/status.h>
 #include <absl/status/statusor.h>
+#include <asio/io_context.hpp>
 
 #include <cstdint>
 #include <functional>
@@ -30,6 +31,8 @@
     Duration silenceTimeout { 0 };
     /// Forces a connection of its own, for probes of a connection that may have gone silent.
     bool freshConnection = false;
+    /// Path and query to send as they are, in place of those of `url`; for requests that are passed on.
+    std::string target {};
 };
 
 struct HttpResponse {
@@ -55,10 +58,13 @@
     /// the response.
     std::function<void(std::string_view piece)> onPiece;
     std::function<void(HttpResponse response)> onResponse;
-    std::function<void(HttpFailure failure)> onFailure;
+    std::function<void(HttpFailure failure)> onFailure {};
+    /// Called once with status and headers before the first piece of a streamed body; false ends the exchange.
+    std::function<bool(const HttpResponse& head)> onHead {};
 };
 
-/// \brief HTTP/1.1 client on one thread over libcurl's multi interface; connections are kept alive and reused.
+/// \brief HTTP/1.1 client over libcurl's multi interface, on a thread of its own or on an event loop that is given;
+/// connections are kept alive and reused.
 class HttpClient {
 public:
     struct Options {
@@ -68,6 +74,9 @@
     };
 
     static absl::StatusOr<std::unique_ptr<HttpClient>> create(Options options);
+    /// Runs on an event loop that one thread runs; `start` and `cancel` may then be called on that thread only, and the
+    /// loop must have stopped before the client goes.
+    static absl::StatusOr<std::unique_ptr<HttpClient>> create(Options options, asio::io_context& context);
 
     virtual ~HttpClient() = default;
 
--- a/packages/net/fuchsialb/src/Net/HttpServer.cpp
+++ b/packages/net/fuchsialb/src/Net/HttpServer.cpp
@@ -49,6 +49,11 @@
             post([response = std::move(response)](auto& reply) mutable { reply.send(std::move(response)); });
         }
 
+        void closeConnection() override
+        {
+            post([](auto& reply) { reply.closeConnection(); });
+        }
+
         void begin(std::uint32_t status, HttpHeaders headers) override
         {
             post([status, headers = std::move(headers)](auto& reply) { reply.begin(status, headers); });
@@ -78,7 +83,7 @@
         template <typename Action> void post(Action action)
         {
             if (const auto context = m_context.lock())
-                asio::post(*context, [reply = m_reply, action = std::move(action)]() mutable { action(*reply); });
+                asio::dispatch(*context, [reply = m_reply, action = std::move(action)]() mutable { action(*reply); });
         }
 
         std::weak_ptr<asio::io_context> m_context;
@@ -91,7 +96,8 @@
             : m_options(std::move(options))
             , m_handler(std::move(handler))
             , m_connections(std::make_shared<internal::RestinioConnections>(m_options.maxConnections))
-            , m_context(std::make_shared<asio::io_context>())
+            , m_ownsLoop(!m_options.context)
+            , m_context(m_ownsLoop ? std::make_shared<asio::io_context>() : m_options.context)
         {
         }
 
@@ -100,7 +106,8 @@
 
         ~RestinioServer() override
         {
-            m_context->stop();
+            if (m_ownsLoop)
+                m_context->stop();
             if (m_thread.joinable())
                 m_thread.join();
             // Replies may outlive the server; connections must not.
@@ -116,6 +123,8 @@
                 return error(Reason::InvalidFlag,
                     fmt::format("can't listen on {}:{}: {}", m_options.address, m_options.port, failure.what()));
             }
+            if (!m_ownsLoop)
+                return absl::OkStatus();
             m_thread = std::thread([this] {
                 const auto work = asio::make_work_guard(*m_context);
                 m_context->run();
@@ -127,7 +136,7 @@
 
         void stopListening() override
         {
-            if (std::this_thread::get_id() == m_thread.get_id()) {
+            if (!m_ownsLoop || std::this_thread::get_id() == m_thread.get_id()) {
                 m_server->close_sync();
                 return;
             }
@@ -189,6 +198,7 @@
             request.method = raw.header().method().c_str();
             request.path = std::string(raw.header().path());
             request.query = std::string(raw.header().query());
+            request.target = raw.header().request_target();
             request.body = raw.body();
             raw.header().for_each_field([&](const restinio::http_header_field_t& field) {
                 std::string name = field.name();
@@ -213,6 +223,7 @@
         const Options m_options;
         Handler m_handler;
         std::shared_ptr<internal::RestinioConnections> m_connections;
+        const bool m_ownsLoop;
         std::shared_ptr<asio::io_context> m_context;
         std::uint16_t m_port = 0;
         std::optional<RawServer> m_server;
--- a/packages/net/fuchsialb/src/Net/HttpServer.h
+++ b/packages/net/fuchsialb/src/Net/HttpServer.h
@@ -3,6 +3,7 @@
 #include "HttpClient.h"
 
 #include <absl/status/statusor.h>
+#include <asio/io_context.hpp>
 
 #include <cstdint>
 #include <functional>
@@ -18,6 +19,8 @@
     /// Without the query.
     std::string path;
     std::string query;
+    /// Path and query as they were sent.
+    std::string target;
     /// Names in lower case.
     HttpHeaders headers;
     std::string body;
@@ -35,6 +38,8 @@
 
     /// Sends the whole answer.
     virtual void send(HttpResponse response) = 0;
+    /// Makes the answer, not started yet, the last one on its connection.
+    virtual void closeConnection() = 0;
     /// Starts a chunked answer, sent on with `write` and ended with `finish`.
     virtual void begin(std::uint32_t status, HttpHeaders headers) = 0;
     virtual void write(std::string piece) = 0;
@@ -45,7 +50,7 @@
     virtual void onClosed(std::function<void()> hook) = 0;
 };
 
-/// \brief HTTP/1.1 server on one thread over RESTinio and standalone Asio.
+/// \brief HTTP/1.1 server over RESTinio and standalone Asio, on a thread of its own or on an event loop that is given.
 class HttpServer {
 public:
     struct Options {
@@ -59,6 +64,8 @@
         Duration readTimeout { std::chrono::seconds(10) };
         /// A client that takes a written piece more slowly than this is cut off.
         Duration writeTimeout { std::chrono::seconds(10) };
+        /// Event loop to run on, by one thread; empty for a thread of the server's own.
+        std::shared_ptr<asio::io_context> context;
     };
 
     /// Runs on the server's thread; must not block.
@@ -68,7 +75,7 @@
     /// \return `InvalidFlag` when the address can't be bound.
     static absl::StatusOr<std::unique_ptr<HttpServer>> create(Options options, Handler handler);
 
-    /// Stops and joins the thread.
+    /// Stops and joins the thread, if it has one; on a given event loop the loop must have stopped before.
     virtual ~HttpServer() = default;
 
     virtual std::uint16_t port() const = 0;
--- a/packages/net/fuchsialb/src/Net/RestinioReply.h
+++ b/packages/net/fuchsialb/src/Net/RestinioReply.h
@@ -24,11 +24,15 @@
 
     bool isDone() const { return !m_connection; }
 
+    void closeConnection() { m_closesConnection = true; }
+
     void send(HttpResponse response)
     {
         if (isDone() || m_stream)
             return;
         auto builder = m_request->create_response(statusLine(response.status));
+        if (m_closesConnection)
+            builder.connection_close();
         appendHeaders(builder, response.headers);
         builder.set_body(std::move(response.body));
         builder.done();
@@ -40,6 +44,8 @@
         if (isDone() || m_stream)
             return;
         m_stream.emplace(m_request->create_response<restinio::chunked_output_t>(statusLine(status)));
+        if (m_closesConnection)
+            m_stream->connection_close();
         appendHeaders(*m_stream, headers);
         m_stream->flush();
     }
@@ -126,6 +132,7 @@
     std::optional<restinio::response_builder_t<restinio::chunked_output_t>> m_stream;
     std::function<void()> m_hook;
     bool m_lost = false;
+    bool m_closesConnection = false;
 };
 
 } // namespace fuchsialb::internal
--- /dev/null
+++ b/packages/store/fuchsialb/src/Store/KeyValueService.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "StoreClient.h"
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace fuchsialb {
+
+/// \brief A key as it was written, or its removal.
+struct KeyItem {
+    std::string key;
+    std::string value;
+    bool removed = false;
+};
+
+/// \brief Items of a listing, or changes in their order.
+struct KeyListing {
+    std::vector<KeyItem> items;
+    /// Version of the store that the listing reflects; the next watch starts from it.
+    KeyVersion asOf;
+};
+
+/// \brief A key-value service with listings and watches of prefixes, leases and unconditional writes.
+///
+/// Each call is followed by exactly one callback on the event loop. Failures are `StoreUnavailable`; nothing is retried
+/// here.
+class KeyValueService {
+public:
+    using OnListing = std::function<void(absl::StatusOr<KeyListing>)>;
+
+    virtual ~KeyValueService() = default;
+
+    /// Lists all keys of a prefix, page by page.
+    virtual void list(std::string prefix, OnListing onListing) = 0;
+    /// Answered with changes after `after` as soon as there are any, or with none after `wait`. Fails with
+    /// `StoreBehind` when the changes since `after` are no longer kept.
+    virtual void watch(std::string prefix, KeyVersion after, Duration wait, OnListing onListing) = 0;
+    /// Writes a key that lives as long as the lease. Fails with `StoreConflict` when the lease has ended.
+    virtual void put(std::string key, std::string value, LeaseId lease, std::function<void(absl::Status)> onPut) = 0;
+    virtual void createLease(Duration ttl, std::function<void(absl::StatusOr<LeaseId>)> onLease) = 0;
+    /// Fails with `StoreConflict` when the lease has ended.
+    virtual void renewLease(LeaseId lease, std::function<void(absl::Status)> onRenewed) = 0;
+    virtual void endLease(LeaseId lease, std::function<void(absl::Status)> onEnded) = 0;
+};
+
+} // namespace fuchsialb
--- a/packages/platform/fuchsialb/src/Platform/StoreClient.cpp
+++ b/packages/store/fuchsialb/src/Store/StoreClient.cpp
@@ -1,5 +1,6 @@
 #include "StoreClient.h"
 
+#include "StoreExchange.h"
 #include "StoreProtocol.h"
 #include "StoreWatcher.h"
 #include "fuchsialb/Config.h"
@@ -14,37 +15,17 @@
 
     using Kind = StoreAnswer::Kind;
 
-    /// What becomes of an exchange: an answer of the service, or how far the request got.
-    using Result = std::variant<HttpResponse, HttpFailure>;
-    using OnResult = std::function<void(Result)>;
+    using Result = internal::StoreExchangeResult;
+    using OnResult = internal::OnStoreExchange;
+    using internal::storeResponse;
 
     constexpr std::string_view scheme = "http://";
 
-    /// Starts one exchange; `onResult` runs exactly once.
-    void exchange(HttpClient& client, HttpRequest request, const OnResult& onResult)
-    {
-        HttpHandlers handlers;
-        handlers.onResponse = [onResult](HttpResponse response) { onResult(std::move(response)); };
-        handlers.onFailure = [onResult](HttpFailure failure) { onResult(std::move(failure)); };
-        const auto started = client.start(std::move(request), std::move(handlers));
-        if (!started.ok())
-            onResult(HttpFailure { started.status(), true });
-    }
-
     StoreAnswer failedWrite(StoreOperationId operation, const HttpFailure& failure)
     {
         return { operation, failure.notSent ? Kind::Failed : Kind::Lost, {}, {} };
     }
 
-    absl::StatusOr<HttpResponse> responseOf(Result result)
-    {
-        if (auto* response = std::get_if<HttpResponse>(&result))
-            return std::move(*response);
-        return error(Reason::StoreUnavailable,
-            std::string(std::get<HttpFailure>(result).status.message().data(),
-                std::get<HttpFailure>(result).status.message().size()));
-    }
-
     class HttpStoreClient final : public StoreClient {
     public:
         HttpStoreClient(Options options, HttpClient& client, const Clock& clock)
@@ -53,8 +34,8 @@
             , m_watcher(std::make_shared<internal::StoreWatcher>(
                   [url = m_options.url, timeout = m_options.timeout, &client](
                       const std::string& path, Duration wait, const internal::StoreWatcher::OnResponse& onResponse) {
-                      exchange(client, { "GET", url + path, {}, {}, timeout + wait },
-                          [onResponse](Result result) { onResponse(responseOf(std::move(result))); });
+                      internal::exchangeWithStore(client, { "GET", url + path, {}, {}, timeout + wait },
+                          [onResponse](Result result) { onResponse(storeResponse(std::move(result))); });
                   },
                   clock))
         {
@@ -133,7 +114,8 @@
 
         void start(const char* method, const std::string& path, std::string body, const OnResult& onResult)
         {
-            exchange(m_client, { method, m_options.url + path, {}, std::move(body), m_options.timeout }, onResult);
+            internal::exchangeWithStore(
+                m_client, { method, m_options.url + path, {}, std::move(body), m_options.timeout }, onResult);
         }
 
         /// Passes a response through `parse`, and a failure as it is.
@@ -141,7 +123,7 @@
         void call(const char* method, const std::string& path, Parse parse, Done done)
         {
             start(method, path, {}, [parse, done = std::move(done)](Result result) {
-                const auto response = responseOf(std::move(result));
+                const auto response = storeResponse(std::move(result));
                 if (response.ok())
                     done(parse(*response));
                 else
--- a/packages/platform/tests/StoreClientTest.cpp
+++ b/packages/store/tests/StoreClientTest.cpp
@@ -1,4 +1,4 @@
-#include "fuchsialb/Platform.h"
+#include "fuchsialb/Store.h"
 
 #include <catch2/catch.hpp>
 
