--- a/packages/core/fuchsialb/Fleet.h
+++ b/packages/core/fuchsialb/Fleet.h
@@ -5,8 +5,10 @@
 /// choice of paths, admission and the watch over streams. No input or output.
 
 #include "src/Fleet/AdmissionQueue.h"
+#include "src/Fleet/BeatExchange.h"
 #include "src/Fleet/ConfigurationInForce.h"
 #include "src/Fleet/EngineProfile.h"
+#include "src/Fleet/HostBeat.h"
 #include "src/Fleet/HostBoard.h"
 #include "src/Fleet/LoadLedger.h"
 #include "src/Fleet/PathFinder.h"
--- a/packages/core/fuchsialb/src/Fleet/HostBoard.cpp
+++ b/packages/core/fuchsialb/src/Fleet/HostBoard.cpp
@@ -5,32 +5,108 @@
 
 namespace fuchsialb {
 
-void HostBoard::replaceAll(const std::vector<RegisteredHost>& hosts)
+namespace {
+
+    // Several beats may be lost or late before a host counts as dead.
+    constexpr Duration beatTimeout = std::chrono::milliseconds(1200);
+    // A host that has just become known needs a connection before its first beat arrives.
+    constexpr Duration firstBeat = std::chrono::milliseconds(2500);
+    // Loads of another data centre come at a lower rate.
+    constexpr Duration remoteTimeout = std::chrono::seconds(3);
+    constexpr Duration forgetAfter = std::chrono::seconds(10);
+
+} // namespace
+
+void HostBoard::replaceAll(const std::vector<RegisteredHost>& hosts, TimePoint now)
 {
-    m_hosts.clear();
+    for (auto& [id, host] : m_hosts)
+        host.registered = false;
     for (const RegisteredHost& host : hosts)
-        put(host);
+        put(host, now);
+}
+
+void HostBoard::put(const RegisteredHost& host, TimePoint now)
+{
+    if (host.host == m_self)
+        return;
+    Host& known = m_hosts[host.host];
+    if (known.registration != host) {
+        known.addedAt = now;
+        known.leaving = false;
+    }
+    known.registration = host;
+    known.registered = true;
+}
+
+void HostBoard::unregister(const HostId& host)
+{
+    if (const auto found = m_hosts.find(host); found != m_hosts.end())
+        found->second.registered = false;
+}
+
+void HostBoard::beat(const RegisteredHost& host, bool leaving, TimePoint now)
+{
+    Host& known = m_hosts[host.host];
+    if (known.registration != host)
+        known.addedAt = now;
+    known.registration = host;
+    known.leaving = leaving;
+    known.heardAt = now;
 }
 
-void HostBoard::put(RegisteredHost host)
+void HostBoard::expire(TimePoint now)
 {
-    const HostId id = host.host;
-    m_hosts[id] = std::move(host);
+    std::erase_if(
+        m_hosts, [&](const auto& item) { return !item.second.registered && now - item.second.heardAt >= forgetAfter; });
 }
 
-std::size_t HostBoard::count(const DataCentreId& dataCentre) const
+bool HostBoard::alive(const HostId& host, TimePoint now) const
 {
-    return static_cast<std::size_t>(std::count_if(
-        m_hosts.begin(), m_hosts.end(), [&](const auto& item) { return item.second.dataCentre == dataCentre; }));
+    if (host == m_self)
+        return true;
+    const auto found = m_hosts.find(host);
+    if (found == m_hosts.end())
+        return false;
+    const Host& known = found->second;
+    return now - known.heardAt < beatTimeout || (known.registered && now - known.addedAt < firstBeat);
 }
 
-HostId HostBoard::orderGiver(const DataCentreId& dataCentre) const
+HostId HostBoard::lead(const DataCentreId& dataCentre, TimePoint now) const
 {
+    const bool own = dataCentre == m_dataCentre;
+    HostId lowest = own ? m_self : HostId();
     for (const auto& [id, host] : m_hosts) {
-        if (host.dataCentre == dataCentre)
-            return id;
+        if (host.registration.dataCentre != dataCentre || host.leaving || (own && !alive(id, now)))
+            continue;
+        if (lowest == HostId() || id < lowest)
+            lowest = id;
     }
-    return m_hosts.empty() ? HostId() : m_hosts.begin()->first;
+    return lowest;
+}
+
+bool HostBoard::hasHosts(const DataCentreId& dataCentre) const
+{
+    return dataCentre == m_dataCentre || std::any_of(m_hosts.begin(), m_hosts.end(), [&](const auto& item) {
+        return item.second.registration.dataCentre == dataCentre;
+    });
+}
+
+bool HostBoard::remoteAlive(const DataCentreId& dataCentre, TimePoint now) const
+{
+    const auto found = m_remoteBeats.find(dataCentre);
+    return found != m_remoteBeats.end() && now - found->second < remoteTimeout;
+}
+
+bool HostBoard::givesOrders(const DataCentreId& dataCentre, TimePoint now) const
+{
+    if (lead(m_dataCentre, now) != m_self)
+        return false;
+    if (dataCentre == m_dataCentre)
+        return true;
+    if (hasHosts(dataCentre))
+        return false;
+    return std::none_of(m_remoteBeats.begin(), m_remoteBeats.end(),
+        [&](const auto& item) { return item.first < m_dataCentre && remoteAlive(item.first, now); });
 }
 
 } // namespace fuchsialb
--- a/packages/core/fuchsialb/src/Fleet/HostBoard.h
+++ b/packages/core/fuchsialb/src/Fleet/HostBoard.h
@@ -19,21 +19,58 @@
     bool operator==(const RegisteredHost&) const = default;
 };
 
-/// \brief The hosts of the system by their registrations.
+/// \brief The hosts of the system: by their registrations, and by their beats where those arrive.
+///
+/// Registrations lapse while the store is away or a data centre is cut off, and hosts that are gone stay registered for
+/// a while. So a host counts as alive by its beats alone, once it had time to send one; registrations only say where
+/// hosts are.
 class HostBoard {
 public:
-    void replaceAll(const std::vector<RegisteredHost>& hosts);
-    void put(RegisteredHost host);
-    void remove(const HostId& host) { m_hosts.erase(host); }
+    HostBoard(HostId self, DataCentreId dataCentre)
+        : m_self(std::move(self))
+        , m_dataCentre(std::move(dataCentre))
+    {
+    }
 
-    const std::map<HostId, RegisteredHost>& hosts() const { return m_hosts; }
-    std::size_t count(const DataCentreId& dataCentre) const;
-    /// \return The host that gives orders to the runners of a data centre: the lowest id of its own hosts, or of all
-    ///     hosts when it has none. Two hosts may each think so for a while; orders are refused by their expectation.
-    HostId orderGiver(const DataCentreId& dataCentre) const;
+    /// Takes the registrations of a fresh listing.
+    void replaceAll(const std::vector<RegisteredHost>& hosts, TimePoint now);
+    void put(const RegisteredHost& host, TimePoint now);
+    /// The registration is gone; the host is kept for as long as beats arrive.
+    void unregister(const HostId& host);
+    void beat(const RegisteredHost& host, bool leaving, TimePoint now);
+    /// A beat from another data centre's leading host arrived, directly or passed on.
+    void remoteBeat(const DataCentreId& dataCentre, TimePoint now) { m_remoteBeats[dataCentre] = now; }
+    /// Drops hosts that are neither registered nor heard of.
+    void expire(TimePoint now);
+
+    struct Host {
+        RegisteredHost registration;
+        bool registered = false;
+        bool leaving = false;
+        TimePoint addedAt {};
+        TimePoint heardAt {};
+    };
+
+    const std::map<HostId, Host>& hosts() const { return m_hosts; }
+    /// \return Number of hosts, this one included, at least 1.
+    std::size_t size() const { return m_hosts.size() + 1; }
+    bool alive(const HostId& host, TimePoint now) const;
+    /// \return The host that speaks for a data centre towards others: the lowest id of those alive and not leaving.
+    ///     For another data centre, whose beats don't arrive here, the lowest registered id.
+    HostId lead(const DataCentreId& dataCentre, TimePoint now) const;
+    /// \return Whether this host gives the orders to the runners of a data centre: it leads that one, or leads the
+    ///     first one that is alive while that one has no host. Two hosts may each think so for a while; orders are
+    ///     refused by their expectation.
+    bool givesOrders(const DataCentreId& dataCentre, TimePoint now) const;
+    bool hasHosts(const DataCentreId& dataCentre) const;
+    bool remoteAlive(const DataCentreId& dataCentre, TimePoint now) const;
 
 private:
-    std::map<HostId, RegisteredHost> m_hosts;
+    HostId m_self;
+    DataCentreId m_dataCentre;
+    /// All but this one.
+    std::map<HostId, Host> m_hosts;
+    std::map<DataCentreId, TimePoint> m_remoteBeats;
 };
 
 } // namespace fuchsialb
--- a/packages/core/fuchsialb/src/Fleet/LoadLedger.cpp
+++ b/packages/core/fuchsialb/src/Fleet/LoadLedger.cpp
@@ -4,6 +4,16 @@
 
 namespace fuchsialb {
 
+namespace {
+
+    void addTable(LoadTable& sum, const LoadTable& table)
+    {
+        for (const auto& [runner, load] : table)
+            sum[runner] += load;
+    }
+
+} // namespace
+
 RunnerLoad& RunnerLoad::operator+=(const RunnerLoad& other)
 {
     cache += other.cache;
@@ -41,13 +51,33 @@
         rebuild();
 }
 
+void LoadLedger::setRemote(const DataCentreId& dataCentre, LoadTable load)
+{
+    m_remote[dataCentre] = std::move(load);
+    rebuild();
+}
+
+void LoadLedger::removeRemote(const DataCentreId& dataCentre)
+{
+    if (m_remote.erase(dataCentre) > 0)
+        rebuild();
+}
+
+LoadTable LoadLedger::ofDataCentre() const
+{
+    LoadTable sum = m_own;
+    for (const auto& [host, table] : m_peers)
+        addTable(sum, table);
+    return sum;
+}
+
 void LoadLedger::rebuild()
 {
     m_others.clear();
-    for (const auto& [host, table] : m_peers) {
-        for (const auto& [runner, load] : table)
-            m_others[runner] += load;
-    }
+    for (const auto& [host, table] : m_peers)
+        addTable(m_others, table);
+    for (const auto& [dataCentre, table] : m_remote)
+        addTable(m_others, table);
 }
 
 RunnerLoad LoadLedger::at(const EndpointId& runner) const
--- a/packages/core/fuchsialb/src/Fleet/LoadLedger.h
+++ b/packages/core/fuchsialb/src/Fleet/LoadLedger.h
@@ -33,6 +33,7 @@
     double first = 0;
 
     RunnerLoad& operator+=(const RunnerLoad& other);
+    bool operator==(const RunnerLoad&) const = default;
 };
 
 using LoadTable = std::map<EndpointId, RunnerLoad>;
@@ -48,9 +49,15 @@
     void release(const Path& path, double tokens);
 
     const LoadTable& own() const { return m_own; }
-    /// Replaces what another host said.
+    /// Replaces what another host of this data centre said.
     void setPeer(const HostId& host, LoadTable load);
     void removePeer(const HostId& host);
+    /// Replaces what the hosts of another data centre have in sum.
+    void setRemote(const DataCentreId& dataCentre, LoadTable load);
+    void removeRemote(const DataCentreId& dataCentre);
+    /// \return Load of this host and of the others in its data centre.
+    LoadTable ofDataCentre() const;
+    const std::map<DataCentreId, LoadTable>& remote() const { return m_remote; }
 
     RunnerLoad at(const EndpointId& runner) const;
 
@@ -59,6 +66,7 @@
 
     LoadTable m_own;
     std::map<HostId, LoadTable> m_peers;
+    std::map<DataCentreId, LoadTable> m_remote;
     /// Sum over all other hosts.
     LoadTable m_others;
 };
--- a/packages/core/fuchsialb/src/Fleet/PlacementDriver.cpp
+++ b/packages/core/fuchsialb/src/Fleet/PlacementDriver.cpp
@@ -14,6 +14,9 @@
     constexpr int loadSlack = 6;
     constexpr Duration loadExtra = std::chrono::milliseconds(1500);
 
+    // A runner that crashed is usually back, empty, within a few seconds, and is then given the layers it had.
+    constexpr Duration restartTime = std::chrono::milliseconds(4500);
+
     Duration loadTime(const EngineProfile& engine, std::uint32_t layers)
     {
         return engine.layers == 0 ? Duration(0) : engine.loadTime * layers / engine.layers;
@@ -61,12 +64,12 @@
     std::vector<PlaceOrder> orders;
     if (nothingHeld && now - m_changedAt < settled)
         return orders;
-    for (const PlacementStep& step : PlacementPlanner::plan(nodes, engine)) {
+    for (const PlacementStep& step : plan(nodes, engine, now)) {
         const RunnerDirectory::Runner* runner = directory.find(step.runner);
         if (!runner || m_pending.contains(step.runner) || m_pausedUntil.contains(step.runner))
             continue;
         const RunnerEntry& entry = runner->entry;
-        PlaceOrder order { entry.id, entry.address, step.layers, entry.ordersBegun };
+        PlaceOrder order { entry.id, entry.address, step.layers, runner->ordersBegun };
         Pending pending;
         pending.order = order;
         pending.runnerStartedAt = entry.startedAt;
@@ -78,6 +81,22 @@
     return orders;
 }
 
+std::vector<PlacementStep> PlacementDriver::plan(
+    const std::vector<PlacementNode>& nodes, const EngineProfile& engine, TimePoint now)
+{
+    std::vector<PlacementStep> steps = PlacementPlanner::plan(nodes, engine);
+    if (!steps.empty() || !m_pending.empty() || !PlacementPlanner::hasGap(nodes, engine)) {
+        m_gapSince.reset();
+        return steps;
+    }
+    if (!m_gapSince)
+        m_gapSince = now;
+    if (now - *m_gapSince < restartTime)
+        return steps;
+    m_gapSince.reset();
+    return PlacementPlanner::relayout(nodes, engine);
+}
+
 void PlacementDriver::answered(const EndpointId& runner, OrderOutcome outcome, TimePoint now)
 {
     const auto found = m_pending.find(runner);
--- a/packages/core/fuchsialb/src/Fleet/PlacementDriver.h
+++ b/packages/core/fuchsialb/src/Fleet/PlacementDriver.h
@@ -4,6 +4,7 @@
 #include "RunnerDirectory.h"
 
 #include <map>
+#include <optional>
 #include <set>
 
 namespace fuchsialb {
@@ -59,6 +60,8 @@
         TimePoint abandonAt {};
     };
 
+    std::vector<PlacementStep> plan(
+        const std::vector<PlacementNode>& nodes, const EngineProfile& engine, TimePoint now);
     void forgetFinished(const RunnerDirectory& directory, TimePoint now);
 
     DataCentreId m_dataCentre;
@@ -67,6 +70,8 @@
     std::map<EndpointId, TimePoint> m_pausedUntil;
     std::set<EndpointId> m_known;
     TimePoint m_changedAt {};
+    /// Since when some layer is held by no runner and no order will change that.
+    std::optional<TimePoint> m_gapSince;
 };
 
 } // namespace fuchsialb
--- a/packages/core/fuchsialb/src/Fleet/PlacementPlanner.cpp
+++ b/packages/core/fuchsialb/src/Fleet/PlacementPlanner.cpp
@@ -51,16 +51,13 @@
         return low;
     }
 
-    std::vector<PlacementStep> initialPlan(std::vector<Candidate> list, const EngineProfile& engine)
+    /// Contiguous ranges over all runners in the order given.
+    std::vector<PlacementStep> layOut(const std::vector<Candidate>& list, const EngineProfile& engine)
     {
         std::vector<PlacementStep> steps;
         if (totalLayers(list, engine, 0) < engine.layers)
             return steps;
         const double tokens = commonRoom(list, engine);
-        // Fast runners come first, so that the layers that rounding leaves over are taken from the slow ones.
-        std::stable_sort(list.begin(), list.end(), [](const Candidate& a, const Candidate& b) {
-            return a.accelerator->stepFactor < b.accelerator->stepFactor;
-        });
         std::uint32_t next = 0;
         for (const Candidate& candidate : list) {
             const std::uint32_t count
@@ -73,6 +70,15 @@
         return steps;
     }
 
+    std::vector<PlacementStep> initialPlan(std::vector<Candidate> list, const EngineProfile& engine)
+    {
+        // Fast runners come first, so that the layers that rounding leaves over are taken from the slow ones.
+        std::stable_sort(list.begin(), list.end(), [](const Candidate& a, const Candidate& b) {
+            return a.accelerator->stepFactor < b.accelerator->stepFactor;
+        });
+        return layOut(list, engine);
+    }
+
     /// KV cache of each layer over all holders, in tokens.
     std::vector<double> roomByLayer(const std::vector<Candidate>& list, const EngineProfile& engine)
     {
@@ -181,6 +187,32 @@
 
 } // namespace
 
+bool PlacementPlanner::hasGap(const std::vector<PlacementNode>& nodes, const EngineProfile& engine)
+{
+    return !gaps(roomByLayer(candidates(nodes, engine), engine)).empty();
+}
+
+std::vector<PlacementStep> PlacementPlanner::relayout(
+    const std::vector<PlacementNode>& nodes, const EngineProfile& engine)
+{
+    std::vector<Candidate> list = candidates(nodes, engine);
+    std::stable_sort(list.begin(), list.end(), [](const Candidate& a, const Candidate& b) {
+        // Empty runners go last: the ranges of the others then shift by the size of the gap at most.
+        const bool aEmpty = a.node->layers.count() == 0;
+        const bool bEmpty = b.node->layers.count() == 0;
+        return aEmpty != bEmpty ? bEmpty : a.node->layers < b.node->layers;
+    });
+    std::vector<PlacementStep> steps;
+    for (const PlacementStep& step : layOut(list, engine)) {
+        const auto changes = [&](const PlacementNode& node) {
+            return node.runner == step.runner && node.idle && node.layers != step.layers;
+        };
+        if (std::any_of(nodes.begin(), nodes.end(), changes))
+            steps.push_back(step);
+    }
+    return steps;
+}
+
 std::vector<PlacementStep> PlacementPlanner::plan(const std::vector<PlacementNode>& nodes, const EngineProfile& engine)
 {
     const std::vector<Candidate> list = candidates(nodes, engine);
--- a/packages/core/fuchsialb/src/Fleet/PlacementPlanner.h
+++ b/packages/core/fuchsialb/src/Fleet/PlacementPlanner.h
@@ -37,6 +37,13 @@
 public:
     /// \return Steps to give now; none when nothing is to be done.
     static std::vector<PlacementStep> plan(const std::vector<PlacementNode>& nodes, const EngineProfile& engine);
+    /// \return Whether some layer is held by no runner.
+    static bool hasGap(const std::vector<PlacementNode>& nodes, const EngineProfile& engine);
+    /// \brief Places the whole model anew over all runners, in the order of the layers that they hold now.
+    ///
+    /// For a gap that no empty runner and no neighbour can fill, for example after the loss of a large runner. Costs
+    /// loads on most runners.
+    static std::vector<PlacementStep> relayout(const std::vector<PlacementNode>& nodes, const EngineProfile& engine);
 };
 
 } // namespace fuchsialb
--- a/packages/core/fuchsialb/src/Fleet/RunnerDirectory.cpp
+++ b/packages/core/fuchsialb/src/Fleet/RunnerDirectory.cpp
@@ -10,6 +10,8 @@
     // A runner that is gone leaves the registry within a few seconds, so longer suspensions add nothing.
     constexpr Duration longestSuspension = std::chrono::seconds(6);
     constexpr std::uint32_t mostDoublings = 4;
+    // A runner that answered this host within this time is not dead, whatever another host met.
+    constexpr Duration trustedSuccess = std::chrono::milliseconds(300);
 
 } // namespace
 
@@ -26,10 +28,8 @@
 void RunnerDirectory::put(RunnerEntry entry)
 {
     Runner& runner = m_runners[entry.id];
-    if (runner.entry.startedAt != entry.startedAt) {
-        runner.failures = 0;
-        runner.suspendedUntil = {};
-    }
+    if (runner.entry.startedAt != entry.startedAt)
+        runner = {};
     runner.entry = std::move(entry);
 }
 
@@ -57,11 +57,53 @@
     ++runner.failures;
 }
 
-void RunnerDirectory::succeeded(const EndpointId& id)
+void RunnerDirectory::foundDead(const EndpointId& id, TimePoint now, Duration suspension)
+{
+    failed(id, now, suspension);
+    if (const auto found = m_runners.find(id); found != m_runners.end())
+        found->second.foundDeadHere = true;
+}
+
+void RunnerDirectory::foundDeadElsewhere(const EndpointId& id, TimePoint now, Duration left)
+{
+    const auto found = m_runners.find(id);
+    if (found == m_runners.end() || now - found->second.succeededAt < trustedSuccess)
+        return;
+    if (now + left > found->second.suspendedUntil) {
+        found->second.suspendedUntil = now + std::min(left, longestSuspension);
+        found->second.foundDeadHere = false;
+    }
+}
+
+void RunnerDirectory::succeeded(const EndpointId& id, TimePoint now)
 {
     const auto found = m_runners.find(id);
-    if (found != m_runners.end())
-        found->second.failures = 0;
+    if (found == m_runners.end())
+        return;
+    found->second.failures = 0;
+    found->second.foundDeadHere = false;
+    found->second.succeededAt = now;
+}
+
+void RunnerDirectory::reported(
+    const EndpointId& id, std::uint64_t ordersBegun, const LayerRange& layers, std::int64_t startedAt)
+{
+    const auto found = m_runners.find(id);
+    if (found == m_runners.end())
+        return;
+    if (startedAt != 0 && startedAt != found->second.entry.startedAt) {
+        RunnerEntry restarted = found->second.entry;
+        restarted.startedAt = startedAt;
+        put(std::move(restarted));
+    }
+    found->second.ordersBegun = ordersBegun;
+    found->second.entry.layers = layers;
+}
+
+void RunnerDirectory::orderBegun(const EndpointId& id)
+{
+    if (const auto found = m_runners.find(id); found != m_runners.end())
+        ++found->second.ordersBegun;
 }
 
 } // namespace fuchsialb
--- a/packages/core/fuchsialb/src/Fleet/RunnerDirectory.h
+++ b/packages/core/fuchsialb/src/Fleet/RunnerDirectory.h
@@ -24,8 +24,6 @@
     /// Version of the weights that it holds.
     std::uint32_t weightsVersion = 0;
     AcceleratorKindId accelerator;
-    /// Orders that it has begun since its start; an order with another expectation is refused.
-    std::uint64_t ordersBegun = 0;
     /// Start of the process, Unix milliseconds; a change means that it restarted and holds nothing of before.
     std::int64_t startedAt = 0;
     std::uint32_t slots = 1;
@@ -41,8 +39,13 @@
 public:
     struct Runner {
         RunnerEntry entry;
+        /// Orders that it is known to have begun since its start; an order with another expectation is refused.
+        std::uint64_t ordersBegun = 0;
         TimePoint suspendedUntil {};
         std::uint32_t failures = 0;
+        /// This host found it dead or cut off, which other hosts are told.
+        bool foundDeadHere = false;
+        TimePoint succeededAt {};
 
         bool usable(TimePoint now) const { return !entry.draining && now >= suspendedUntil; }
     };
@@ -62,8 +65,16 @@
     /// A request met a failure that the runner is to blame for.
     /// \param suspension Time to pass the runner over after a first failure.
     void failed(const EndpointId& id, TimePoint now, Duration suspension);
+    /// The runner takes no connection, gives no answer about its state, or is waited for by others.
+    void foundDead(const EndpointId& id, TimePoint now, Duration suspension);
+    /// Another host found the runner dead; ignored while requests of this host are answered by it.
+    void foundDeadElsewhere(const EndpointId& id, TimePoint now, Duration left);
     /// A request was answered.
-    void succeeded(const EndpointId& id);
+    void succeeded(const EndpointId& id, TimePoint now);
+    /// A report says how many orders it has begun and what it holds; the registry does not say the first.
+    void reported(const EndpointId& id, std::uint64_t ordersBegun, const LayerRange& layers, std::int64_t startedAt);
+    /// An order was begun.
+    void orderBegun(const EndpointId& id);
 
 private:
     Runners m_runners;
--- a/packages/core/fuchsialb/src/Router/Message.h
+++ b/packages/core/fuchsialb/src/Router/Message.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "../Control/ConfigurationSpread.h"
+#include "../Fleet/HostBeat.h"
 #include "../Member/Membership.h"
 #include "Request.h"
 
@@ -88,6 +89,6 @@
 };
 
 using PeerMessage = std::variant<Probe, ProbeReply, ConfigPull, ConfigChunk, Submit, Accepted, Inquire, NotKnown,
-    TokensDelivered, Finished, Returned, CancelRequest>;
+    TokensDelivered, Finished, Returned, CancelRequest, HostBeat>;
 
 } // namespace fuchsialb
--- a/packages/core/fuchsialb/src/Router/Router.h
+++ b/packages/core/fuchsialb/src/Router/Router.h
@@ -106,6 +106,8 @@
     void onPeer(const HostId& from, const Finished& message);
     void onPeer(const HostId& from, const Returned& message);
     void onPeer(const HostId& from, const CancelRequest& message);
+    /// Beats are for gateways.
+    void onPeer(const HostId&, const HostBeat&) { }
 
     /// Messages to this daemon itself are handled at once.
     void sendPeer(const HostId& to, PeerMessage message);
--- a/packages/gateway/fuchsialb/src/Gateway/Gateway.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/Gateway.cpp
@@ -1,6 +1,7 @@
 #include "Gateway.h"
 
 #include "LogBuffer.h"
+#include "PeerExchange.h"
 #include "PlacementDuty.h"
 #include "RequestDesk.h"
 #include "StoreSession.h"
@@ -63,10 +64,12 @@
             m_store = makeStore(*m_http, m_settings.store);
             const auto seed = (static_cast<std::uint64_t>(std::random_device()()) << 32) | std::random_device()();
             m_context.emplace(GatewayContext { m_settings, m_translator, *m_loop, m_clock, *m_http, *m_store, m_log,
-                m_metrics, Random(seed), ConfigurationInForce(m_settings.keyTrust), {}, {}, {},
+                m_metrics, Random(seed), ConfigurationInForce(m_settings.keyTrust), {}, {},
+                HostBoard(m_settings.host, m_settings.dataCentre), {},
                 RepeatBudget({ m_settings.repeatRatio, m_settings.repeatWindow, m_settings.repeatAllowance }), {} });
             m_desk.emplace(*m_context);
-            m_session.emplace(*m_context);
+            m_peers.emplace(*m_context);
+            m_session.emplace(*m_context, [this](const std::string& key) { m_peers->useKey(key); });
             m_placement.emplace(*m_context);
             absl::Status status = listenOn(m_callers, m_settings.callers, m_loop,
                 [this](ServerRequest request, const std::shared_ptr<HttpReply>& reply) {
@@ -133,7 +136,7 @@
             if (m_context->stopping)
                 return;
             m_context->stopping = true;
-            m_stopAt = m_clock.now();
+            m_context->stoppingSince = m_clock.now();
             m_log.log(LogLine("stopping").add("open_requests", static_cast<std::int64_t>(m_desk->open())));
             m_session->leave();
         }
@@ -143,7 +146,7 @@
             m_desk->tick();
             m_output.flush();
             if (m_context->stopping) {
-                const Duration stopping = m_clock.now() - m_stopAt;
+                const Duration stopping = m_clock.now() - m_context->stoppingSince;
                 if ((m_desk->open() == 0 && stopping >= leastStop) || stopping >= m_settings.stopGrace - stopMargin) {
                     m_loop->stop();
                     return;
@@ -159,6 +162,8 @@
         void duties()
         {
             m_placement->tick();
+            m_session->tick();
+            m_peers->tick();
             m_metrics.set("open_requests", static_cast<double>(m_desk->open()));
             m_metrics.set("waiting_requests", static_cast<double>(m_context->waiting.size()));
             m_metrics.set("runners", static_cast<double>(m_context->runners.runners().size()));
@@ -183,12 +188,12 @@
         std::unique_ptr<KeyValueService> m_store;
         std::optional<GatewayContext> m_context;
         std::optional<RequestDesk> m_desk;
+        std::optional<PeerExchange> m_peers;
         std::optional<StoreSession> m_session;
         std::optional<PlacementDuty> m_placement;
         std::unique_ptr<HttpServer> m_callers;
         std::unique_ptr<HttpServer> m_readiness;
         std::unique_ptr<HttpServer> m_metricsServer;
-        TimePoint m_stopAt {};
     };
 
 } // namespace
--- a/packages/gateway/fuchsialb/src/Gateway/GatewayContext.h
+++ b/packages/gateway/fuchsialb/src/Gateway/GatewayContext.h
@@ -21,6 +21,8 @@
     Random random;
 
     ConfigurationInForce configuration;
+    /// The configuration in force as it was read, for hosts that can't read it.
+    std::string configurationText;
     RunnerDirectory runners;
     HostBoard hosts;
     LoadLedger ledger;
@@ -28,6 +30,7 @@
     AdmissionQueue waiting;
     /// The process was told to end.
     bool stopping = false;
+    TimePoint stoppingSince {};
     /// Revision of the registry that `runners` reflects, and when it was read.
     KeyVersion registryVersion {};
     TimePoint registryReadAt {};
--- /dev/null
+++ b/packages/gateway/fuchsialb/src/Gateway/PeerExchange.cpp
@@ -0,0 +1,83 @@
+#include "PeerExchange.h"
+
+#include <asio/post.hpp>
+
+#include <variant>
+
+namespace fuchsialb {
+
+PeerExchange::PeerExchange(GatewayContext& context)
+    : m_context(context)
+    , m_beats({ context.settings.host, context.settings.dataCentre, context.settings.peers.text(), context.hosts,
+          context.ledger, context.runners, context.configuration })
+{
+}
+
+PeerExchange::~PeerExchange() { *m_alive = false; }
+
+void PeerExchange::useKey(const std::string& key)
+{
+    if (m_transport)
+        return;
+    PeerTransport::Options options;
+    options.bindAddress = m_context.settings.peers.text();
+    options.keys = { "gateway", key, "" };
+    options.self = m_context.settings.host;
+    // Must rise over restarts. Where the time of day jumps back, peers drop beats until it has caught up.
+    options.incarnation = Incarnation(static_cast<std::uint64_t>(unixMicroseconds()));
+    auto transport = PeerTransport::create(
+        std::move(options),
+        [this, alive = m_alive](const HostId& from, PeerMessage message) {
+            if (!std::holds_alternative<HostBeat>(message))
+                return;
+            asio::post(m_context.loop, [this, alive, from, beat = std::get<HostBeat>(std::move(message))]() mutable {
+                if (*alive)
+                    take(from, std::move(beat));
+            });
+        },
+        [this, alive = m_alive](const absl::Status& status) {
+            asio::post(m_context.loop, [this, alive, reason = reasonOf(status)] {
+                if (*alive)
+                    m_context.metrics.count("peer_messages_dropped", "reason", reasonName(reason));
+            });
+        });
+    LogLine line("peer-exchange");
+    line.add("status", reasonName(reasonOf(transport.status())));
+    m_context.log.log(line);
+    if (transport.ok())
+        m_transport = *std::move(transport);
+}
+
+void PeerExchange::tick()
+{
+    if (!m_transport)
+        return;
+    for (const BeatExchange::Outgoing& outgoing :
+        m_beats.due(m_context.now(), bootTime(), m_context.stopping, m_context.configurationText)) {
+        if (!m_transport->send(outgoing.to, outgoing.address, outgoing.beat))
+            m_context.metrics.count("peer_messages_dropped", "reason", reasonName(Reason::QueueFull));
+    }
+}
+
+void PeerExchange::take(const HostId& from, HostBeat beat)
+{
+    auto news = m_beats.take(from, std::move(beat), m_context.now());
+    if (!news)
+        return;
+    auto table = m_context.translator.routingTable(news->configurationText);
+    if (!table.ok()) {
+        LogLine line("configuration-unreadable");
+        line.add("from", from.value()).add("cause", std::string(table.status().message()));
+        m_context.log.log(line);
+        return;
+    }
+    const ConfigurationVersion version = table->version;
+    if (!m_context.configuration.accept(std::make_shared<const RoutingTable>(*std::move(table)), news->provenAt))
+        return;
+    m_context.configurationText = std::move(news->configurationText);
+    LogLine line("configuration-in-force");
+    line.add("version", static_cast<std::int64_t>(version.value())).add("from", from.value());
+    m_context.log.log(line);
+}
+
+} // namespace fuchsialb
--- a/packages/gateway/fuchsialb/src/Gateway/PlacementDuty.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/PlacementDuty.cpp
@@ -27,7 +27,7 @@
     for (const auto& [id, runner] : m_context.runners.runners())
         dataCentres.insert(runner.entry.dataCentre);
     for (const DataCentreId& dataCentre : dataCentres) {
-        if (m_context.hosts.orderGiver(dataCentre) != m_context.settings.host) {
+        if (!m_context.hosts.givesOrders(dataCentre, now)) {
             m_drivers.erase(dataCentre);
             continue;
         }
@@ -64,6 +64,8 @@
         line.add("expected_orders", static_cast<std::int64_t>(order.expectedOrders));
         line.add("outcome", static_cast<std::int64_t>(outcome));
         m_context.log.log(line);
+        if (outcome == OrderOutcome::Begun)
+            m_context.runners.orderBegun(order.runner);
         const auto driver = m_drivers.find(dataCentre);
         if (driver != m_drivers.end())
             driver->second.answered(order.runner, outcome, m_context.now());
@@ -89,15 +91,8 @@
     HttpHandlers handlers;
     handlers.onResponse = [this, runner](const HttpResponse& response) {
         const auto report = m_context.translator.report(response);
-        const RunnerDirectory::Runner* entry = m_context.runners.find(runner);
-        if (!report.ok() || !entry)
-            return;
-        RunnerEntry changed = entry->entry;
-        changed.layers = report->layers;
-        changed.ordersBegun = report->ordersBegun;
-        if (report->startedAt != 0)
-            changed.startedAt = report->startedAt;
-        m_context.runners.put(std::move(changed));
+        if (report.ok())
+            m_context.runners.reported(runner, report->ordersBegun, report->layers, report->startedAt);
     };
     static_cast<void>(m_context.http.start(std::move(request), std::move(handlers)));
 }
--- a/packages/gateway/fuchsialb/src/Gateway/PlainCall.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/PlainCall.cpp
@@ -91,7 +91,7 @@
 {
     const bool harmless = !m_mayHaveRun || m_matched.route->mayRepeat();
     return harmless && m_attempts < m_matched.route->maxAttempts && timeLeft(now) > Duration::zero()
-        && m_context.repeats.take(now, m_context.hosts.hosts().size());
+        && m_context.repeats.take(now, m_context.hosts.size());
 }
 
 void PlainCall::takeResponse(HttpResponse response)
@@ -115,7 +115,7 @@
     m_mayHaveRun = true;
     const bool own = said.sealed && !said.encoded && said.requestId == m_matched.request.id;
     if (own && response.status < serverError) {
-        m_context.runners.succeeded(m_endpoint);
+        m_context.runners.succeeded(m_endpoint, now);
         passOn(std::move(response));
         return;
     }
--- a/packages/gateway/fuchsialb/src/Gateway/RequestDesk.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/RequestDesk.cpp
@@ -9,8 +9,10 @@
 
     // A caller that comes back has at least this much less time than its route gives at most.
     constexpr Duration returningGap = std::chrono::milliseconds(400);
-    // Wait before a caller tries again while the configuration is not known or its keys can't be judged.
-    constexpr Duration unknownReturn = std::chrono::milliseconds(1000);
+    // Wait before a caller tries again when only this host can't serve it: its next attempt reaches another one.
+    constexpr Duration unknownReturn = std::chrono::milliseconds(100);
+    // Requests on kept connections that arrive later than this after the signal to stop might not end in time.
+    constexpr Duration takenWhileStopping = std::chrono::milliseconds(2500);
     constexpr double durationSmoothing = 0.05;
 
 } // namespace
@@ -54,6 +56,10 @@
         refuse(*reply, OwnAnswer::NoRoute, id, "no-route");
         return;
     }
+    if (m_context.stopping && matched.receivedAt - m_context.stoppingSince >= takenWhileStopping) {
+        refuse(*reply, OwnAnswer::NotRun, id, "stopping", unknownReturn);
+        return;
+    }
     if (const auto denied = identify(matched)) {
         refuse(*reply, *denied, id, *denied == OwnAnswer::UnknownKey ? "unknown-key" : "keys-not-proven",
             *denied == OwnAnswer::NotRun ? std::optional(unknownReturn) : std::nullopt);
--- a/packages/gateway/fuchsialb/src/Gateway/StoreSession.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/StoreSession.cpp
@@ -16,9 +16,16 @@
     constexpr Duration renewPeriod = std::chrono::milliseconds(1500);
     constexpr Duration firstRetry = std::chrono::milliseconds(150);
     constexpr std::uint32_t mostDoublings = 3;
-    // The configuration's watch also proves that keys are still valid, so it ends well inside the time that keys are
-    // trusted without proof.
-    constexpr Duration configurationWait = std::chrono::milliseconds(2000);
+    // Where the hosts of a data centre agree on a key for their messages.
+    constexpr std::string_view sharedKey = "fuchsialb/hosts/.key";
+    constexpr int sharedKeyWords = 4;
+    // The leading host's watch of the configuration proves that keys are still valid, and it tells the others; so it
+    // ends well inside the time that keys are trusted without proof.
+    constexpr Duration provingWait = std::chrono::milliseconds(2000);
+    constexpr Duration longWait = std::chrono::seconds(20);
+    // Age of the proof at which a host that was told nothing newer asks the store itself.
+    constexpr Duration proofWanted = std::chrono::milliseconds(3000);
+    constexpr Duration proofRetry = std::chrono::milliseconds(1000);
 
 } // namespace
 
@@ -30,12 +37,19 @@
 {
 }
 
+void PrefixFollower::retryNow()
+{
+    if (m_backingOff)
+        again(Duration(0), true);
+}
+
 void PrefixFollower::again(Duration delay, bool listing)
 {
     m_timer.expires_after(delay);
     m_timer.async_wait([this, listing](const asio::error_code& failure) {
         if (failure)
             return;
+        m_backingOff = false;
         if (listing)
             list();
         else
@@ -54,14 +68,12 @@
     }
     m_reachable = false;
     m_context.metrics.count("store_failures", "prefix", m_options.name);
-    const bool listing = m_asOf == KeyVersion() || reasonOf(status) == Reason::StoreBehind;
-    if (reasonOf(status) == Reason::StoreBehind)
-        m_asOf = KeyVersion();
+    // A listing is answered at once, so it shows sooner than a watch that the store is back.
     const Duration delay = firstRetry * (1U << std::min(m_failures, mostDoublings));
     ++m_failures;
-    again(
-        delay + Duration(static_cast<Duration::rep>(m_context.random.below(static_cast<std::uint64_t>(delay.count())))),
-        listing);
+    const auto jitter = m_context.random.below(static_cast<std::uint64_t>(delay.count()));
+    again(delay + Duration(static_cast<Duration::rep>(jitter)), true);
+    m_backingOff = true;
 }
 
 void PrefixFollower::answered()
@@ -71,9 +83,12 @@
         line.add("prefix", m_options.name);
         m_context.log.log(line);
     }
+    const bool back = m_everReachable && !m_reachable;
     m_reachable = true;
     m_everReachable = true;
     m_failures = 0;
+    if (back && m_onReached)
+        m_onReached();
 }
 
 void PrefixFollower::list()
@@ -95,8 +110,9 @@
 void PrefixFollower::watch()
 {
     const Duration sentAt = bootTime();
+    const Duration wait = m_options.wait();
     m_context.metrics.count("store_calls", "kind", "watch");
-    m_context.store.watch(m_options.prefix, m_asOf, m_options.wait, [this, sentAt](absl::StatusOr<KeyListing> listing) {
+    m_context.store.watch(m_options.prefix, m_asOf, wait, [this, sentAt, wait](absl::StatusOr<KeyListing> listing) {
         if (!listing.ok()) {
             failed(listing.status());
             return;
@@ -104,25 +120,71 @@
         answered();
         const Duration elapsed = bootTime() - sentAt;
         // Without changes the service has waited for the whole time after the call arrived.
-        const bool waited = listing->items.empty() && elapsed >= m_options.wait;
+        const bool waited = listing->items.empty() && elapsed >= wait;
         m_asOf = std::max(m_asOf, listing->asOf);
-        m_onItems(*listing, false, waited ? sentAt + m_options.wait : sentAt);
+        m_onItems(*listing, false, waited ? sentAt + wait : sentAt);
         again(std::max(Duration(0), m_options.spacing - elapsed), false);
     });
 }
 
-StoreSession::StoreSession(GatewayContext& context)
+StoreSession::StoreSession(GatewayContext& context, OnKey onKey)
     : m_context(context)
+    , m_onKey(std::move(onKey))
     , m_configuration(context,
-          { "configuration", context.translator.configurationKey(), configurationWait, std::chrono::milliseconds(50) },
+          { "configuration", context.translator.configurationKey(), [this] { return configurationWait(); },
+              std::chrono::milliseconds(50) },
           [this](const KeyListing& listing, bool, Duration provenAt) { takeConfiguration(listing, provenAt); })
     , m_runners(context,
-          { "runners", context.translator.runnersPrefix(), std::chrono::seconds(20), std::chrono::milliseconds(500) },
+          { "runners", context.translator.runnersPrefix(), [] { return longWait; }, std::chrono::milliseconds(500) },
           [this](const KeyListing& listing, bool whole, Duration) { takeRunners(listing, whole); })
-    , m_hosts(context, { "hosts", std::string(hostsPrefix), std::chrono::seconds(25), std::chrono::milliseconds(1500) },
+    , m_hosts(context, { "hosts", std::string(hostsPrefix), [] { return longWait; }, std::chrono::milliseconds(1500) },
           [this](const KeyListing& listing, bool whole, Duration) { takeHosts(listing, whole); })
     , m_timer(context.loop)
 {
+    const auto retryAll = [this] {
+        for (PrefixFollower* follower : { &m_configuration, &m_runners, &m_hosts })
+            follower->retryNow();
+    };
+    for (PrefixFollower* follower : { &m_configuration, &m_runners, &m_hosts })
+        follower->setOnReached(retryAll);
+}
+
+Duration StoreSession::configurationWait() const
+{
+    const bool leads = m_context.hosts.lead(m_context.settings.dataCentre, m_context.now()) == m_context.settings.host;
+    return leads ? provingWait : longWait;
+}
+
+void StoreSession::tick()
+{
+    const Duration now = bootTime();
+    if (m_proofAsked || m_context.settings.keyTrust == Duration::zero() || !m_context.configuration.known()
+        || now - m_context.configuration.provenAt() < proofWanted || now < m_nextProof)
+        return;
+    m_proofAsked = true;
+    m_context.metrics.count("store_calls", "kind", "proof");
+    m_context.store.list(m_context.translator.configurationKey(), [this, now](absl::StatusOr<KeyListing> listing) {
+        m_proofAsked = false;
+        m_nextProof = bootTime() + proofRetry;
+        if (listing.ok())
+            takeConfiguration(*listing, now);
+        LogLine line("configuration-proof");
+        line.add("status", reasonName(reasonOf(listing.status())));
+        line.add("version", static_cast<std::int64_t>(m_context.configuration.version().value()));
+        m_context.log.log(line);
+    });
+}
+
+void StoreSession::makeSharedKey()
+{
+    std::string key;
+    for (int i = 0; i < sharedKeyWords; ++i)
+        key += fmt::format("{:016x}", m_context.random.next());
+    m_context.store.putIfAbsent(std::string(sharedKey), key, [this](const absl::Status& status) {
+        LogLine line("shared-key-offered");
+        line.add("status", reasonName(reasonOf(status)));
+        m_context.log.log(line);
+    });
 }
 
 void StoreSession::start()
@@ -148,6 +210,8 @@
             return;
         }
         const ConfigurationVersion version = table->version;
+        if (version > m_context.configuration.version())
+            m_context.configurationText = item.value;
         const bool taken
             = m_context.configuration.accept(std::make_shared<const RoutingTable>(*std::move(table)), provenAt);
         LogLine line(taken ? "configuration-in-force" : "configuration-passed-over");
@@ -194,13 +258,20 @@
 
 void StoreSession::takeHosts(const KeyListing& listing, bool whole)
 {
+    const TimePoint now = m_context.now();
     std::vector<RegisteredHost> hosts;
+    bool keyed = false;
     for (const KeyItem& item : listing.items) {
+        if (item.key == sharedKey) {
+            keyed = !item.removed;
+            if (keyed)
+                m_onKey(item.value);
+            continue;
+        }
         const HostId id(item.key.substr(std::min(item.key.size(), hostsPrefix.size())));
         if (item.removed) {
-            m_context.hosts.remove(id);
-            m_context.ledger.removePeer(id);
-            LogLine line("host-left");
+            m_context.hosts.unregister(id);
+            LogLine line("host-unregistered");
             line.add("host", id.value()).add("as_of", static_cast<std::int64_t>(listing.asOf.value()));
             m_context.log.log(line);
             continue;
@@ -208,19 +279,16 @@
         const json object = json::parse(item.value, nullptr, false);
         if (!object.is_object())
             continue;
-        RegisteredHost host { id, DataCentreId(object.value("data_centre", "")), object.value("address", "") };
+        const RegisteredHost host { id, DataCentreId(object.value("data_centre", "")), object.value("address", "") };
         if (whole)
-            hosts.push_back(std::move(host));
+            hosts.push_back(host);
         else
-            m_context.hosts.put(std::move(host));
+            m_context.hosts.put(host, now);
     }
     if (whole)
-        m_context.hosts.replaceAll(hosts);
-    if (std::none_of(m_context.hosts.hosts().begin(), m_context.hosts.hosts().end(),
-            [&](const auto& item) { return item.first == m_context.settings.host; })) {
-        m_context.hosts.put(
-            { m_context.settings.host, m_context.settings.dataCentre, m_context.settings.peers.text() });
-    }
+        m_context.hosts.replaceAll(hosts, now);
+    if (whole && !keyed)
+        makeSharedKey();
 }
 
 void StoreSession::registerHost()
@@ -277,7 +345,7 @@
     if (m_lease == LeaseId())
         return;
     m_context.store.endLease(m_lease, [this](const absl::Status& status) {
-        LogLine line("host-unregistered");
+        LogLine line("registration-ended");
         line.add("status", reasonName(reasonOf(status)));
         m_context.log.log(line);
     });
--- a/packages/gateway/fuchsialb/src/Gateway/StoreSession.h
+++ b/packages/gateway/fuchsialb/src/Gateway/StoreSession.h
@@ -19,8 +19,8 @@
     struct Options {
         std::string name;
         std::string prefix;
-        /// Longest wait of one watch.
-        Duration wait { std::chrono::seconds(20) };
+        /// \return Longest wait of the next watch.
+        std::function<Duration()> wait;
         /// Shortest time from the start of one watch to the next.
         Duration spacing { std::chrono::milliseconds(400) };
     };
@@ -30,8 +30,9 @@
 
     PrefixFollower(GatewayContext& context, Options options, OnItems onItems);
     void start() { list(); }
-    /// \return Whether the last call was answered.
-    bool reachable() const { return m_reachable; }
+    /// Tries again at once if the last call failed: another call has shown that the store answers.
+    void retryNow();
+    void setOnReached(std::function<void()> onReached) { m_onReached = std::move(onReached); }
 
 private:
     void list();
@@ -43,18 +44,26 @@
     GatewayContext& m_context;
     Options m_options;
     OnItems m_onItems;
+    std::function<void()> m_onReached;
     asio::steady_timer m_timer;
     KeyVersion m_asOf;
     bool m_reachable = false;
     bool m_everReachable = false;
     std::uint32_t m_failures = 0;
+    /// A failed call waits for its repetition.
+    bool m_backingOff = false;
 };
 
 /// \brief Keeps configuration, runners and hosts up to date from the key-value service, and this host registered.
 class StoreSession {
 public:
-    explicit StoreSession(GatewayContext& context);
+    using OnKey = std::function<void(const std::string& key)>;
+
+    /// \param onKey Told the key that all hosts share.
+    StoreSession(GatewayContext& context, OnKey onKey);
     void start();
+    /// Reads the configuration when the proof that it is the newest gets old; called several times a second.
+    void tick();
     /// Takes this host off the list of hosts.
     void leave();
 
@@ -66,14 +75,19 @@
     void renewLater();
     void renew();
     std::string hostKey() const;
+    void makeSharedKey();
+    Duration configurationWait() const;
 
     GatewayContext& m_context;
+    OnKey m_onKey;
     PrefixFollower m_configuration;
     PrefixFollower m_runners;
     PrefixFollower m_hosts;
     asio::steady_timer m_timer;
     LeaseId m_lease;
     bool m_leaving = false;
+    bool m_proofAsked = false;
+    Duration m_nextProof { 0 };
 };
 
 } // namespace fuchsialb
--- a/packages/gateway/fuchsialb/src/Gateway/StreamCall.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/StreamCall.cpp
@@ -4,9 +4,11 @@
 
 namespace {
 
-    // A runner that left a stream without answer is passed over until the registry has had time to say what became of
-    // it: entries last for three heartbeats.
-    constexpr Duration stageSuspension = std::chrono::seconds(4);
+    // A runner found dead is passed over until the registry has had time to say what became of it; a restart ends that
+    // at once.
+    constexpr Duration deadSuspension = std::chrono::seconds(3);
+    // A stream that broke off says little of its runner: answers get lost on the way.
+    constexpr Duration brokenSuspension = std::chrono::milliseconds(100);
     // A stage that refused, for example for a lack of memory, is likely to take requests again soon.
     constexpr Duration refusalSuspension = std::chrono::milliseconds(300);
     // Longest wait for another path in mid-stream; callers leave after a pause of two seconds.
@@ -214,13 +216,13 @@
     const bool succeeded = response.status >= 200 && response.status < 300;
     if (succeeded && m_head && !m_badAnswer) {
         if (m_splitter.hasRest()) {
-            blame(m_path.front().runner, "event-cut");
+            blame(m_path.front().runner, "event-cut", brokenSuspension);
             leavePath();
             failOver("event-cut", true);
             return;
         }
         for (const PathStage& stage : m_path)
-            m_context.runners.succeeded(stage.runner);
+            m_context.runners.succeeded(stage.runner, m_context.now());
         m_servedDuration = m_context.now() - m_startedAt;
         leavePath();
         if (!m_begun)
@@ -263,15 +265,31 @@
 void StreamCall::takeFailure(const HttpFailure& failure)
 {
     const EndpointId first = m_path.front().runner;
-    blame(first, reasonName(reasonOf(failure.status)));
     leavePath();
+    if (failure.notSent)
+        blameDead(first, "unreachable");
+    else
+        blame(first, reasonName(reasonOf(failure.status)), brokenSuspension);
     failOver(reasonName(reasonOf(failure.status)), !failure.notSent);
 }
 
-void StreamCall::blame(const EndpointId& runner, std::string_view cause)
+void StreamCall::blame(const EndpointId& runner, std::string_view cause, Duration suspension)
+{
+    m_context.runners.failed(runner, m_context.now(), suspension);
+    m_avoided.insert(runner);
+    logBlame(runner, cause);
+}
+
+void StreamCall::blameDead(const EndpointId& runner, std::string_view cause)
 {
-    m_context.runners.failed(runner, m_context.now(), stageSuspension);
+    m_context.runners.foundDead(runner, m_context.now(), deadSuspension);
     m_avoided.insert(runner);
+    logBlame(runner, cause);
+    m_onRunnerLost(runner);
+}
+
+void StreamCall::logBlame(const EndpointId& runner, std::string_view cause)
+{
     LogLine line = logLine("runner-blamed");
     line.add("runner", runner.value()).add("cause", cause);
     m_context.log.log(line);
@@ -291,7 +309,7 @@
     m_mayHaveRun = m_mayHaveRun || mayHaveRun;
     const bool allowed = !m_mayHaveRun || (m_matched.route->mayRepeat() && m_runs < m_matched.route->maxAttempts + 1);
     const TimePoint now = m_context.now();
-    if (!allowed || timeLeft(now) == Duration::zero() || !m_context.repeats.take(now, m_context.hosts.hosts().size())) {
+    if (!allowed || timeLeft(now) == Duration::zero() || !m_context.repeats.take(now, m_context.hosts.size())) {
         giveUp(cause);
         return;
     }
@@ -357,9 +375,9 @@
     handlers.onFailure = [self, run](const HttpFailure& failure) {
         if (self->isOver() || self->m_run != run || !self->m_exchange || reasonOf(failure.status) == Reason::Cancelled)
             return;
+        // A copy: the path changes when the stream goes on elsewhere.
         const EndpointId first = self->m_path.front().runner;
-        self->blame(first, "silent");
-        self->m_onRunnerLost(first);
+        self->blameDead(first, "silent");
     };
     static_cast<void>(m_context.http.start(std::move(request), std::move(handlers)));
 }
@@ -373,8 +391,7 @@
         if (!runner)
             return;
         const EndpointId lost = runner->entry.id;
-        blame(lost, "stalled");
-        m_onRunnerLost(lost);
+        blameDead(lost, "stalled");
         return;
     }
 }
--- a/packages/gateway/fuchsialb/src/Gateway/StreamCall.h
+++ b/packages/gateway/fuchsialb/src/Gateway/StreamCall.h
@@ -46,7 +46,10 @@
     /// Goes on at other runners, or ends the request.
     void failOver(std::string_view cause, bool mayHaveRun);
     void giveUp(std::string_view cause);
-    void blame(const EndpointId& runner, std::string_view cause);
+    void blame(const EndpointId& runner, std::string_view cause, Duration suspension);
+    /// Tells the other requests and hosts as well.
+    void blameDead(const EndpointId& runner, std::string_view cause);
+    void logBlame(const EndpointId& runner, std::string_view cause);
     void refuse(std::string_view cause);
     double expectedTokens() const;
 
--- a/packages/net/fuchsialb/src/Net/CurlExchange.cpp
+++ b/packages/net/fuchsialb/src/Net/CurlExchange.cpp
@@ -2,6 +2,10 @@
 
 #include "SystemClock.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <cctype>
 #include <utility>
@@ -14,6 +18,24 @@
     // crosses such a close on the wire ends with an unknown outcome.
     constexpr long maxIdleSeconds = 5;
 
+    // A peer behind a cut is noticed within about this time, also while nothing is sent: a connection may go silent
+    // while new ones work.
+    constexpr int silentPeerMilliseconds = 2000;
+    constexpr int probeIdleSeconds = 1;
+    constexpr int probeIntervalSeconds = 1;
+    constexpr int probeCount = 2;
+
+    int watchForSilentPeer(void*, curl_socket_t socket, curlsocktype)
+    {
+        const auto set = [socket](int level, int option, int value) {
+            return ::setsockopt(socket, level, option, &value, sizeof(value)) == 0;
+        };
+        const bool taken = set(SOL_SOCKET, SO_KEEPALIVE, 1) && set(IPPROTO_TCP, TCP_KEEPIDLE, probeIdleSeconds)
+            && set(IPPROTO_TCP, TCP_KEEPINTVL, probeIntervalSeconds) && set(IPPROTO_TCP, TCP_KEEPCNT, probeCount)
+            && set(IPPROTO_TCP, TCP_USER_TIMEOUT, silentPeerMilliseconds);
+        return taken ? CURL_SOCKOPT_OK : CURL_SOCKOPT_ERROR;
+    }
+
     long milliseconds(Duration duration)
     {
         // Rounded up, since 0 means no limit to curl.
@@ -79,6 +101,7 @@
     set(CURLOPT_PROTOCOLS_STR, "http");
     set(CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
     set(CURLOPT_MAXAGE_CONN, maxIdleSeconds);
+    set(CURLOPT_SOCKOPTFUNCTION, &watchForSilentPeer);
     set(CURLOPT_CONNECTTIMEOUT_MS, milliseconds(m_request.connectTimeout));
     set(CURLOPT_TIMEOUT_MS, milliseconds(m_request.timeout));
     set(CURLOPT_HEADERFUNCTION, &CurlExchange::receiveHeader);
--- a/packages/net/fuchsialb/src/Net/PeerTransport.cpp
+++ b/packages/net/fuchsialb/src/Net/PeerTransport.cpp
@@ -176,7 +176,7 @@
                 if (!peer.pending.empty())
                     items.push_back({ peer.socket.handle(), 0, ZMQ_POLLOUT, 0 });
             }
-            const bool quiet = items.size() == 2 && m_peers.empty();
+            const bool quiet = items.size() == 2;
             std::chrono::milliseconds wait = quiet ? quietPollInterval : housekeepingInterval;
             // A turn that ended at its limit leaves messages in the ring that no wake announces.
             if (m_moreQueued)
--- a/packages/store/fuchsialb/src/Store/KeyValueService.h
+++ b/packages/store/fuchsialb/src/Store/KeyValueService.h
@@ -39,6 +39,8 @@
     virtual void watch(std::string prefix, KeyVersion after, Duration wait, OnListing onListing) = 0;
     /// Writes a key that lives as long as the lease. Fails with `StoreConflict` when the lease has ended.
     virtual void put(std::string key, std::string value, LeaseId lease, std::function<void(absl::Status)> onPut) = 0;
+    /// Writes a key without a lease unless it exists. Fails with `StoreConflict` when it does.
+    virtual void putIfAbsent(std::string key, std::string value, std::function<void(absl::Status)> onPut) = 0;
     virtual void createLease(Duration ttl, std::function<void(absl::StatusOr<LeaseId>)> onLease) = 0;
     /// Fails with `StoreConflict` when the lease has ended.
     virtual void renewLease(LeaseId lease, std::function<void(absl::Status)> onRenewed) = 0;
--- a/packages/wire/fuchsialb/src/Wire/PeerMessageDecode.cpp
+++ b/packages/wire/fuchsialb/src/Wire/PeerMessageDecode.cpp
@@ -282,6 +282,46 @@
 
     CancelRequest decode(Decoder& in, const wire::CancelRequest& from) { return in.submissionOf<CancelRequest>(from); }
 
+    template <typename From> LoadTable decodeLoads(Decoder& in, const From& from)
+    {
+        LoadTable to;
+        in.require(from.size() <= internal::maxRunnerLoads, "too many runner loads");
+        if (!in.status().ok())
+            return to;
+        for (const wire::RunnerLoad& load : from) {
+            // Written so that NaN fails as well.
+            in.require(load.cache() >= 0 && load.sequences() >= 0 && load.first() >= 0, "a runner load is negative");
+            to[in.id<EndpointId>(load.runner(), "load.runner")] += { load.cache(), load.sequences(), load.first() };
+        }
+        return to;
+    }
+
+    HostBeat decode(Decoder& in, const wire::HostBeat& from)
+    {
+        HostBeat to;
+        to.sequence = from.sequence();
+        to.echo = from.echo();
+        to.dataCentre = in.id<DataCentreId>(from.data_centre(), "host_beat.data_centre");
+        to.address = in.text(from.address(), internal::maxAddressBytes, "host_beat.address");
+        to.leaving = from.leaving();
+        to.configuration = ConfigurationVersion(from.configuration());
+        to.proofAge = in.duration(from.proof_age_us(), "host_beat.proof_age_us");
+        to.configurationText
+            = in.text(from.configuration_text(), internal::maxConfigurationBytes, "host_beat.configuration_text");
+        to.load = decodeLoads(in, from.load());
+        in.require(from.remote_size() <= internal::maxRemoteLoads, "too many data centres");
+        in.require(from.suspicions_size() <= internal::maxRunnerLoads, "too many suspicions");
+        if (!in.status().ok())
+            return to;
+        for (const wire::DataCentreLoad& remote : from.remote())
+            to.remote.push_back(
+                { in.id<DataCentreId>(remote.data_centre(), "remote.data_centre"), decodeLoads(in, remote.load()) });
+        for (const wire::RunnerSuspicion& suspicion : from.suspicions())
+            to.suspicions.push_back({ in.id<EndpointId>(suspicion.runner(), "suspicion.runner"),
+                in.duration(suspicion.left_us(), "suspicion.left_us") });
+        return to;
+    }
+
     PeerMessage decodeBody(Decoder& in, const wire::Body& body)
     {
         switch (body.kind_case()) {
@@ -309,6 +349,8 @@
             return decode(in, body.config_pull());
         case wire::Body::kConfigChunk:
             return decode(in, body.config_chunk());
+        case wire::Body::kHostBeat:
+            return decode(in, body.host_beat());
         case wire::Body::KIND_NOT_SET:
             break;
         }
--- a/packages/wire/fuchsialb/src/Wire/PeerMessageEncode.cpp
+++ b/packages/wire/fuchsialb/src/Wire/PeerMessageEncode.cpp
@@ -108,6 +108,18 @@
         to.set_finish_reason(cut(from.finishReason, internal::maxIdBytes));
     }
 
+    /// \param to A repeated field of `wire::RunnerLoad`.
+    template <typename To> void encodeLoads(const LoadTable& from, To& to)
+    {
+        for (const auto& [runner, load] : from) {
+            wire::RunnerLoad& added = *to.Add();
+            added.set_runner(runner.value());
+            added.set_cache(static_cast<float>(load.cache));
+            added.set_sequences(static_cast<float>(load.sequences));
+            added.set_first(static_cast<float>(load.first));
+        }
+    }
+
     template <typename From, typename To> void encodeSubmission(const From& from, To& to)
     {
         encode(from.request.value(), *to.mutable_request());
@@ -187,6 +199,30 @@
         }
 
         void operator()(const CancelRequest& from) const { encodeSubmission(from, *body.mutable_cancel()); }
+
+        void operator()(const HostBeat& from) const
+        {
+            wire::HostBeat& to = *body.mutable_host_beat();
+            to.set_sequence(from.sequence);
+            to.set_echo(from.echo);
+            to.set_data_centre(from.dataCentre.value());
+            to.set_address(from.address);
+            to.set_leaving(from.leaving);
+            to.set_configuration(from.configuration.value());
+            to.set_proof_age_us(micros(from.proofAge));
+            to.set_configuration_text(from.configurationText);
+            encodeLoads(from.load, *to.mutable_load());
+            for (const DataCentreLoad& remote : from.remote) {
+                wire::DataCentreLoad& added = *to.add_remote();
+                added.set_data_centre(remote.dataCentre.value());
+                encodeLoads(remote.load, *added.mutable_load());
+            }
+            for (const RunnerSuspicion& suspicion : from.suspicions) {
+                wire::RunnerSuspicion& added = *to.add_suspicions();
+                added.set_runner(suspicion.runner.value());
+                added.set_left_us(micros(suspicion.left));
+            }
+        }
     };
 
 } // namespace
--- a/packages/wire/fuchsialb/src/Wire/WireLimits.h
+++ b/packages/wire/fuchsialb/src/Wire/WireLimits.h
@@ -36,6 +36,10 @@
 inline constexpr std::size_t maxChunkBytes = 65'536;
 /// Largest encoded configuration, in bytes.
 inline constexpr std::uint64_t maxConfigurationBytes = 67'108'864;
+/// Most runners whose load travels in one beat; the whole fleet has 5,000.
+inline constexpr int maxRunnerLoads = 8192;
+/// Most data centres whose loads travel in one beat.
+inline constexpr int maxRemoteLoads = 64;
 /// Longest wait, deadline or retry interval. Summaries are due within a day; a week leaves room for batch work.
 inline constexpr Duration maxDuration { std::chrono::hours(24 * 7) };
 
