Watch sockets anew when curl reuses the number of a failed connection

Cause: curl closes a socket whose connection never came about without the close callback. Its number then goes to a new socket, for which curl reports no change, so Asio waited on a registration that the kernel had dropped, and answers were noticed by curl's own timers only: watches of the store hung for 21 s after a cut. Ruled out: silent connections (keep-alive probes ended those after 3 s), lost answers of the store (one of three watches of the same process worked). Change: an open-socket callback replaces a stale registration.

--- a/packages/net/fuchsialb/src/Net/AsioCurlClient.cpp
+++ b/packages/net/fuchsialb/src/Net/AsioCurlClient.cpp
@@ -2,8 +2,11 @@
 
 #include <asio/post.hpp>
 
+#include <sys/socket.h>
 #include <unistd.h>
 
+#include <utility>
+
 namespace fuchsialb::internal {
 
 namespace {
@@ -54,6 +57,8 @@
     auto exchange = std::make_unique<CurlExchange>(id, std::move(request), std::move(handlers), m_options.maxBody);
     bool added = exchange->prepare();
     if (added) {
+        curl_easy_setopt(exchange->handle(), CURLOPT_OPENSOCKETFUNCTION, &AsioCurlClient::openSocket);
+        curl_easy_setopt(exchange->handle(), CURLOPT_OPENSOCKETDATA, this);
         curl_easy_setopt(exchange->handle(), CURLOPT_CLOSESOCKETFUNCTION, &AsioCurlClient::closeSocket);
         curl_easy_setopt(exchange->handle(), CURLOPT_CLOSESOCKETDATA, this);
         added = curl_multi_add_handle(m_multi, exchange->handle()) == CURLM_OK;
@@ -109,6 +114,31 @@
     return 0;
 }
 
+curl_socket_t AsioCurlClient::openSocket(void* self, curlsocktype, curl_sockaddr* address)
+{
+    const int handle = ::socket(address->family, address->socktype | SOCK_CLOEXEC, address->protocol);
+    if (handle >= 0)
+        static_cast<AsioCurlClient*>(self)->replaceStale(handle);
+    return handle >= 0 ? handle : CURL_SOCKET_BAD;
+}
+
+void AsioCurlClient::replaceStale(curl_socket_t handle)
+{
+    auto stale = m_sockets.extract(handle);
+    if (stale.empty())
+        return;
+    const int wanted = std::exchange(stale.mapped()->wanted, 0);
+    stale.mapped()->descriptor.release();
+    // curl tells of changes only, and the new socket may want just what the old one did.
+    const auto socket = std::make_shared<Socket>(m_context, handle);
+    socket->wanted = wanted;
+    m_sockets.emplace(handle, socket);
+    asio::post(m_context, [this, alive = m_alive, socket, handle] {
+        if (*alive)
+            wait(socket, handle);
+    });
+}
+
 int AsioCurlClient::closeSocket(void* self, curl_socket_t handle)
 {
     auto& client = *static_cast<AsioCurlClient*>(self);
--- a/packages/net/fuchsialb/src/Net/AsioCurlClient.h
+++ b/packages/net/fuchsialb/src/Net/AsioCurlClient.h
@@ -44,7 +44,11 @@
 
     static int socketChanged(CURL* easy, curl_socket_t handle, int what, void* self, void* socket);
     static int timerChanged(CURLM* multi, long milliseconds, void* self);
+    static curl_socket_t openSocket(void* self, curlsocktype purpose, curl_sockaddr* address);
     static int closeSocket(void* self, curl_socket_t handle);
+    /// Forgets a socket that curl closed without a word, as it does with connections that never came about, when its
+    /// number is given to a new one.
+    void replaceStale(curl_socket_t handle);
 
     void wait(const std::shared_ptr<Socket>& socket, curl_socket_t handle);
     void waitFor(const std::shared_ptr<Socket>& socket, curl_socket_t handle, int direction);
