Count the runners that a request may have run at, not its runs

Cause: a stream could go on at a third runner although its route allows two. Change: once the allowed number of sound runners may have run a request, further paths begin at one of them.

--- a/packages/core/fuchsialb/src/Fleet/PathFinder.cpp
+++ b/packages/core/fuchsialb/src/Fleet/PathFinder.cpp
@@ -103,6 +103,8 @@
             double base = std::numeric_limits<double>::infinity();
             std::uint32_t basePlace = holder.place;
             if (from == 0) {
+                if (!request.firstAmong.empty() && !request.firstAmong.contains(holder.entry->id))
+                    continue;
                 base = holder.entry->dataCentre == request.from ? 0 : remoteAnswerMilliseconds;
             } else {
                 for (std::uint32_t place = 0; place < width; ++place) {
--- a/packages/core/fuchsialb/src/Fleet/PathFinder.h
+++ b/packages/core/fuchsialb/src/Fleet/PathFinder.h
@@ -20,6 +20,8 @@
     double cacheLimit = 1;
     /// Runners that must not be on the path.
     std::set<EndpointId> avoided;
+    /// Where not empty, the only runners that the path may begin at: a request may run at few of them.
+    std::set<EndpointId> firstAmong {};
 };
 
 /// \brief Finds the cheapest chain of runners that covers all layers in order and has room for a request.
--- a/packages/gateway/fuchsialb/src/Gateway/StreamCall.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/StreamCall.cpp
@@ -41,6 +41,17 @@
     return static_cast<double>(request.promptTokens + output);
 }
 
+bool StreamCall::mayRunElsewhere() const { return m_ranAt.size() < m_matched.route->maxAttempts; }
+
+bool StreamCall::mayRunAgain() const
+{
+    if (!m_mayHaveRun)
+        return true;
+    const bool anySound = std::any_of(
+        m_ranAt.begin(), m_ranAt.end(), [&](const EndpointId& runner) { return !m_avoided.contains(runner); });
+    return m_matched.route->mayRepeat() && (mayRunElsewhere() || anySound);
+}
+
 void StreamCall::start()
 {
     m_reply->onClosed([weak = weak_from_this()] {
@@ -80,8 +91,10 @@
     }
     const PathFinder finder(m_context.runners, m_context.ledger);
     const double limit = m_runs > 0 ? resumeCacheLimit : AdmissionPolicy::cacheLimit(m_matched.urgency);
-    return finder.find({ m_matched.service->name, m_context.settings.dataCentre, expectedTokens(), limit, m_avoided },
-        *m_matched.service->engine, now);
+    PathRequest wanted { m_matched.service->name, m_context.settings.dataCentre, expectedTokens(), limit, m_avoided };
+    if (!mayRunElsewhere())
+        wanted.firstAmong = m_ranAt;
+    return finder.find(wanted, *m_matched.service->engine, now);
 }
 
 bool StreamCall::admit()
@@ -113,10 +126,27 @@
     answer(OwnAnswer::NotRun, cause, AdmissionPolicy::retryAfter(m_meanDuration, left, m_context.random.unit()));
 }
 
+std::string StreamCall::dataCentresOf(const Path& path) const
+{
+    std::string names;
+    std::string last;
+    for (const PathStage& stage : path) {
+        const RunnerDirectory::Runner* runner = m_context.runners.find(stage.runner);
+        const std::string name = runner ? runner->entry.dataCentre.value() : "?";
+        if (name == last)
+            continue;
+        names += (names.empty() ? "" : ",") + name;
+        last = name;
+    }
+    return names;
+}
+
 void StreamCall::run(Path path)
 {
     const TimePoint now = m_context.now();
     m_path = std::move(path);
+    m_lastFirst = m_path.front().runner;
+    m_ranAt.insert(m_lastFirst);
     m_context.ledger.commit(m_path, expectedTokens());
     ++m_run;
     ++m_runs;
@@ -138,7 +168,7 @@
     LogLine line = logLine("request-sent");
     line.add("run", static_cast<std::int64_t>(m_runs));
     line.add("first", call.runner.value());
-    line.add("stages", static_cast<std::int64_t>(m_path.size()));
+    line.add("stages", static_cast<std::int64_t>(m_path.size())).add("data_centres", dataCentresOf(m_path));
     line.add("registry", static_cast<std::int64_t>(m_context.registryVersion.value()));
     m_context.log.log(line);
     const auto started = m_context.http.start(m_context.translator.runnerRequest(m_matched.request, call), handlers());
@@ -284,6 +314,8 @@
 {
     m_context.runners.foundDead(runner, m_context.now(), deadSuspension);
     m_avoided.insert(runner);
+    // The limit of runners is on those that are there.
+    m_ranAt.erase(runner);
     logBlame(runner, cause);
     m_onRunnerLost(runner);
 }
@@ -307,9 +339,10 @@
     if (isOver())
         return;
     m_mayHaveRun = m_mayHaveRun || mayHaveRun;
-    const bool allowed = !m_mayHaveRun || (m_matched.route->mayRepeat() && m_runs < m_matched.route->maxAttempts + 1);
+    if (!mayHaveRun)
+        m_ranAt.erase(m_lastFirst);
     const TimePoint now = m_context.now();
-    if (!allowed || timeLeft(now) == Duration::zero() || !m_context.repeats.take(now, m_context.hosts.size())) {
+    if (!mayRunAgain() || timeLeft(now) == Duration::zero() || !m_context.repeats.take(now, m_context.hosts.size())) {
         giveUp(cause);
         return;
     }
@@ -350,7 +383,7 @@
         return;
     case StallDetector::Verdict::GiveUp:
         // Without another run the rest of the wait costs nothing.
-        if (!m_matched.route->mayRepeat() || m_runs > m_matched.route->maxAttempts)
+        if (!mayRunAgain() || !m_matched.route->mayRepeat())
             return;
         stopRunner();
         failOver("stalled", true);
@@ -406,6 +439,7 @@
         || !m_matched.route->mayRepeat())
         return;
     m_avoided.insert(runner);
+    m_ranAt.erase(runner);
     stopRunner();
     failOver("runner-lost", true);
 }
--- a/packages/gateway/fuchsialb/src/Gateway/StreamCall.h
+++ b/packages/gateway/fuchsialb/src/Gateway/StreamCall.h
@@ -33,6 +33,8 @@
     void wait(Duration patience);
     std::optional<Path> findPath(TimePoint now) const;
     void run(Path path);
+    /// \return The data centres that a path passes through, in order.
+    std::string dataCentresOf(const Path& path) const;
     HttpHandlers handlers();
     bool takeHead(const HttpResponse& head);
     void takePiece(std::string_view piece);
@@ -52,6 +54,9 @@
     void logBlame(const EndpointId& runner, std::string_view cause);
     void refuse(std::string_view cause);
     double expectedTokens() const;
+    /// \return Whether the request may run at a further runner.
+    bool mayRunElsewhere() const;
+    bool mayRunAgain() const;
 
     const Duration& m_meanDuration;
     OnRunnerLost m_onRunnerLost;
@@ -60,6 +65,8 @@
     /// Rises with each run, so that late callbacks of an earlier one are told apart.
     std::uint64_t m_run = 0;
     std::uint32_t m_runs = 0;
+    /// First runner of the last run.
+    EndpointId m_lastFirst;
     bool m_mayHaveRun = false;
     bool m_begun = false;
     bool m_badAnswer = false;
@@ -67,6 +74,8 @@
     EventSplitter m_splitter;
     std::optional<HttpResponse> m_head;
     std::set<EndpointId> m_avoided;
+    /// First runners that may have run the request and are not known to be dead.
+    std::set<EndpointId> m_ranAt;
     std::optional<StallDetector> m_stalls;
     TimePoint m_startedAt {};
     bool m_waiting = false;
