--- /dev/null
+++ b/packages/core/tests/FleetAdmissionTest.cpp
@@ -0,0 +1,145 @@
+#include "tests/support/FleetSamples.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <set>
+
+using namespace fuchsialb;
+using namespace fuchsialb::test;
+
+// Replays a flood of the least urgent work: it must leave room for urgent requests (P9).
+TEST_CASE("A flood of the least urgent requests leaves room for urgent ones")
+{
+    const EngineProfile engine = fleetEngine();
+    RunnerDirectory directory;
+    LoadLedger ledger;
+    for (const RunnerEntry& entry : placedEntries(4))
+        directory.put(entry);
+    const PathFinder finder(directory, ledger);
+    const TimePoint now { 10s };
+    const auto admit = [&](std::uint32_t urgency) {
+        const auto path = finder.find(
+            { fleetService(), DataCentreId("east"), 600, AdmissionPolicy::cacheLimit(urgency), {} }, engine, now);
+        if (path)
+            ledger.commit(*path, 600);
+        return path.has_value();
+    };
+    int flood = 0;
+    while (admit(2))
+        ++flood;
+    CHECK(flood > 50);
+    CHECK(finder.fill(fleetService(), engine, now) > 0.8);
+    int urgent = 0;
+    while (admit(0))
+        ++urgent;
+    CHECK(urgent * 10 > flood);
+}
+
+// Guards against new requests that overtake more urgent ones or callers that came back.
+TEST_CASE("Waiting requests are admitted by urgency, then those that came back, then by arrival")
+{
+    AdmissionQueue queue;
+    const TimePoint now { 10s };
+    queue.push(1, { 1, false, now + 1s });
+    queue.push(2, { 0, false, now + 1s });
+    queue.push(3, { 1, true, now + 1s });
+    queue.push(4, { 0, false, now + 2s });
+    CHECK(queue.order() == std::vector<AdmissionQueue::Key> { 2, 4, 3, 1 });
+    CHECK(queue.waitsBefore(0));
+
+    SECTION("those that waited for too long are taken out")
+    {
+        CHECK(queue.takeExpired(now + 1s).size() == 3);
+        CHECK(queue.order() == std::vector<AdmissionQueue::Key> { 4 });
+    }
+
+    SECTION("and those that ended are forgotten")
+    {
+        queue.remove(2);
+        queue.remove(4);
+        CHECK_FALSE(queue.waitsBefore(0));
+        CHECK(queue.waitsBefore(1));
+    }
+}
+
+// Replays callers that were refused in one burst: they must not come back together, nor later than they wait.
+TEST_CASE("Refused callers come back over a span, within the time that they wait")
+{
+    std::set<Duration> times;
+    for (int i = 0; i < 10; ++i)
+        times.insert(AdmissionPolicy::retryAfter(4s, 20s, i / 10.0));
+    CHECK(times.size() == 10);
+    CHECK(*times.begin() >= 2s);
+    CHECK(*times.rbegin() <= 20s / 3);
+    CHECK(AdmissionPolicy::retryAfter(4s, 900ms, 0.9) == 300ms);
+}
+
+// Guards against retries that multiply an overload over all hosts together.
+TEST_CASE("Repeats stay within the share of a host")
+{
+    RepeatBudget budget({ 0.2, 10s, 100 });
+    const TimePoint now { 10s };
+    for (int i = 0; i < 50; ++i)
+        budget.request(now);
+    int taken = 0;
+    while (budget.take(now, 10))
+        ++taken;
+    CHECK(taken > 10);
+    CHECK(taken <= 100 / 10 + 50 * 0.2);
+    CHECK_FALSE(budget.take(now + 9s, 10));
+    CHECK(budget.take(now + 10s, 10));
+}
+
+// Guards against streams that wait for a dead runner, and against giving up one that is only slow.
+TEST_CASE("A stream that has stopped is asked about, then given up")
+{
+    using Verdict = StallDetector::Verdict;
+    TimePoint now { 10s };
+    StallDetector detector({}, now);
+    CHECK(detector.check(now + 400ms) == Verdict::Flowing);
+    CHECK(detector.check(now + 460ms) == Verdict::Ask);
+    CHECK(detector.check(now + 500ms) == Verdict::Flowing);
+    CHECK(detector.check(now + 800ms) == Verdict::Ask);
+    CHECK(detector.check(now + 1300ms) == Verdict::GiveUp);
+    detector.event(now + 1300ms);
+    CHECK(detector.check(now + 1400ms) == Verdict::Flowing);
+}
+
+// Guards against suspensions that outlive a runner's restart.
+TEST_CASE("A failing runner is passed over for a time that grows, and is forgiven on its restart")
+{
+    RunnerDirectory directory;
+    RunnerEntry entry = fleetEntries().front();
+    directory.put(entry);
+    TimePoint now { 10s };
+    directory.failed(entry.id, now, 100ms);
+    CHECK_FALSE(directory.find(entry.id)->usable(now + 99ms));
+    CHECK(directory.find(entry.id)->usable(now + 100ms));
+    now += 100ms;
+    directory.failed(entry.id, now, 100ms);
+    CHECK_FALSE(directory.find(entry.id)->usable(now + 199ms));
+
+    SECTION("a success ends the growth")
+    {
+        now += 200ms;
+        directory.succeeded(entry.id, now);
+        directory.failed(entry.id, now, 100ms);
+        CHECK(directory.find(entry.id)->usable(now + 100ms));
+    }
+
+    SECTION("a restart under the same id ends the suspension")
+    {
+        entry.startedAt += 1;
+        directory.put(entry);
+        CHECK(directory.find(entry.id)->usable(now));
+    }
+
+    SECTION("a fresh listing keeps what is held against it")
+    {
+        directory.replaceAll({ entry });
+        CHECK_FALSE(directory.find(entry.id)->usable(now));
+        directory.replaceAll({});
+        CHECK_FALSE(directory.find(entry.id));
+    }
+}
--- /dev/null
+++ b/packages/core/tests/FleetPathTest.cpp
@@ -0,0 +1,145 @@
+#include "tests/support/FleetSamples.h"
+
+#include <catch2/catch.hpp>
+
+#include <rapidcheck.h>
+
+#include <algorithm>
+
+using namespace fuchsialb;
+using namespace fuchsialb::test;
+
+namespace {
+
+bool coversAllOnce(const Path& path, std::uint32_t layers)
+{
+    std::uint32_t next = 0;
+    for (const PathStage& stage : path) {
+        if (stage.layers.first != next || stage.layers.count() == 0)
+            return false;
+        next = stage.layers.end;
+    }
+    return next == layers;
+}
+
+bool within(const Path& path, const RunnerDirectory& directory)
+{
+    return std::all_of(path.begin(), path.end(), [&](const PathStage& stage) {
+        const LayerRange held = directory.find(stage.runner)->entry.layers;
+        return held.first <= stage.layers.first && stage.layers.end <= held.end;
+    });
+}
+
+} // namespace
+
+// Guards against paths that leave layers out, cross data centres without need, or go through runners without room.
+TEST_CASE("A path runs every layer once and stays in a data centre")
+{
+    const EngineProfile engine = fleetEngine();
+    RunnerDirectory directory;
+    LoadLedger ledger;
+    for (const RunnerEntry& entry : placedEntries(4))
+        directory.put(entry);
+    const PathFinder finder(directory, ledger);
+    const TimePoint now { 10s };
+    PathRequest request { fleetService(), DataCentreId("east"), 600, 1, {} };
+
+    SECTION("of the host that sends the request")
+    {
+        const auto path = finder.find(request, engine, now);
+        REQUIRE(path);
+        CHECK(coversAllOnce(*path, engine.layers));
+        for (const PathStage& stage : *path)
+            CHECK(directory.find(stage.runner)->entry.dataCentre == DataCentreId("east"));
+
+        SECTION("until it is full, then of another one")
+        {
+            while (true) {
+                const auto next = finder.find(request, engine, now);
+                REQUIRE(next);
+                if (directory.find(next->front().runner)->entry.dataCentre == DataCentreId("west"))
+                    break;
+                ledger.commit(*next, request.tokens);
+            }
+            // The data centre is well used before requests go elsewhere.
+            CHECK(ledger.at(EndpointId("east-0")).cache
+                > 0.5 * engine.cacheRoom(*engine.accelerator(AcceleratorKindId("large")), 10));
+        }
+    }
+
+    SECTION("a lost runner is passed over by a whole path elsewhere, not by a detour")
+    {
+        directory.foundDead(EndpointId("east-2"), now, 3s);
+        const auto path = finder.find(request, engine, now);
+        REQUIRE(path);
+        for (const PathStage& stage : *path)
+            CHECK(directory.find(stage.runner)->entry.dataCentre == DataCentreId("west"));
+
+        SECTION("and when both data centres lack different layers, hidden states cross")
+        {
+            directory.foundDead(EndpointId("west-0"), now, 3s);
+            const auto crossing = finder.find(request, engine, now);
+            REQUIRE(crossing);
+            CHECK(coversAllOnce(*crossing, engine.layers));
+        }
+
+        SECTION("and when both lack the same layers, there is no path")
+        {
+            directory.foundDead(EndpointId("west-2"), now, 3s);
+            CHECK_FALSE(finder.find(request, engine, now));
+            CHECK_FALSE(finder.covered(request, engine, now));
+        }
+    }
+
+    SECTION("a request that may not run at a further runner begins at one that it ran at")
+    {
+        request.firstAmong = { EndpointId("west-0") };
+        const auto path = finder.find(request, engine, now);
+        REQUIRE(path);
+        CHECK(path->front().runner == EndpointId("west-0"));
+    }
+
+    SECTION("a full fleet has no path, but waiting can help")
+    {
+        request.tokens = 1e9;
+        CHECK_FALSE(finder.find(request, engine, now));
+        CHECK(finder.covered(request, engine, now));
+    }
+
+    SECTION("runners that leave are passed over")
+    {
+        for (RunnerEntry entry : placedEntries(4)) {
+            entry.draining = entry.dataCentre == DataCentreId("east");
+            directory.put(entry);
+        }
+        const auto path = finder.find(request, engine, now);
+        REQUIRE(path);
+        CHECK(directory.find(path->front().runner)->entry.dataCentre == DataCentreId("west"));
+    }
+}
+
+TEST_CASE("Any holders of any ranges give a whole path or none")
+{
+    rc::check("all layers once, each at a runner that holds it", [] {
+        const EngineProfile engine = fleetEngine();
+        RunnerDirectory directory;
+        LoadLedger ledger;
+        const int count = *rc::gen::inRange(1, 12);
+        for (int i = 0; i < count; ++i) {
+            RunnerEntry entry = placedEntries(4).front();
+            entry.id = EndpointId(std::to_string(i));
+            entry.address = "10.0.0.1:" + std::to_string(i + 1);
+            entry.dataCentre = DataCentreId(*rc::gen::element<std::string>("east", "west"));
+            const auto first = static_cast<std::uint32_t>(*rc::gen::inRange(0, 39));
+            entry.layers = { first, first + static_cast<std::uint32_t>(*rc::gen::inRange(1, 18)) };
+            entry.layers.end = std::min(entry.layers.end, engine.layers);
+            directory.put(entry);
+        }
+        const PathFinder finder(directory, ledger);
+        const auto path = finder.find({ fleetService(), DataCentreId("east"), 10, 1, {} }, engine, TimePoint { 10s });
+        if (path) {
+            RC_ASSERT(coversAllOnce(*path, engine.layers));
+            RC_ASSERT(within(*path, directory));
+        }
+    });
+}
--- /dev/null
+++ b/packages/core/tests/FleetPlacementTest.cpp
@@ -0,0 +1,192 @@
+#include "tests/support/FleetSamples.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace fuchsialb;
+using namespace fuchsialb::test;
+
+namespace {
+
+/// Applies steps as if the runners had carried them out.
+void apply(std::vector<PlacementNode>& nodes, const std::vector<PlacementStep>& steps)
+{
+    for (const PlacementStep& step : steps) {
+        for (PlacementNode& node : nodes) {
+            if (node.runner == step.runner)
+                node.layers = step.layers;
+        }
+    }
+}
+
+bool fits(const std::vector<PlacementNode>& nodes, const std::vector<PlacementStep>& steps, const EngineProfile& engine)
+{
+    return std::all_of(steps.begin(), steps.end(), [&](const PlacementStep& step) {
+        const auto node = std::find_if(nodes.begin(), nodes.end(),
+            [&](const PlacementNode& candidate) { return candidate.runner == step.runner; });
+        return step.layers.count() <= engine.mostLayers(*engine.accelerator(node->accelerator));
+    });
+}
+
+} // namespace
+
+// Guards against layers that no runner holds, and against orders that a runner's memory can't hold.
+TEST_CASE("Runners of a data centre get all layers of a model")
+{
+    const EngineProfile engine = fleetEngine();
+    std::vector<PlacementNode> nodes = fleetNodes();
+
+    SECTION("an empty fleet holds each layer once, within its memory")
+    {
+        const auto steps = PlacementPlanner::plan(nodes, engine);
+        CHECK(fits(nodes, steps, engine));
+        apply(nodes, steps);
+        CHECK_FALSE(PlacementPlanner::hasGap(nodes, engine));
+        std::uint32_t held = 0;
+        for (const PlacementNode& node : nodes)
+            held += node.layers.count();
+        CHECK(held == engine.layers);
+
+        SECTION("and nothing more is ordered") { CHECK(PlacementPlanner::plan(nodes, engine).empty()); }
+
+        SECTION("the layers of a small runner that is lost go to its neighbours")
+        {
+            nodes.erase(nodes.begin() + 5);
+            const auto repair = PlacementPlanner::plan(nodes, engine);
+            CHECK(repair.size() <= 2);
+            CHECK(fits(nodes, repair, engine));
+            apply(nodes, repair);
+            CHECK_FALSE(PlacementPlanner::hasGap(nodes, engine));
+        }
+
+        SECTION("the layers of a runner that is lost go to an empty one where there is one")
+        {
+            nodes.erase(nodes.begin() + 5);
+            nodes.push_back({ EndpointId("new"), AcceleratorKindId("middle"), {}, true });
+            const auto repair = PlacementPlanner::plan(nodes, engine);
+            REQUIRE(repair.size() == 1);
+            CHECK(repair.front().runner == EndpointId("new"));
+            apply(nodes, repair);
+            CHECK_FALSE(PlacementPlanner::hasGap(nodes, engine));
+        }
+
+        SECTION("the loss of the largest runner at the end of the model takes a new layout")
+        {
+            nodes.erase(nodes.begin());
+            REQUIRE(PlacementPlanner::hasGap(nodes, engine));
+            const auto repair = PlacementPlanner::relayout(nodes, engine);
+            CHECK(fits(nodes, repair, engine));
+            apply(nodes, repair);
+            CHECK_FALSE(PlacementPlanner::hasGap(nodes, engine));
+        }
+
+        SECTION("an empty runner without a gap doubles some layers")
+        {
+            nodes.push_back({ EndpointId("new"), AcceleratorKindId("small"), {}, true });
+            const auto more = PlacementPlanner::plan(nodes, engine);
+            REQUIRE(more.size() == 1);
+            CHECK(more.front().layers.count() > 0);
+            CHECK(fits(nodes, more, engine));
+        }
+    }
+
+    SECTION("too little memory for the model orders nothing")
+    {
+        nodes.resize(3);
+        CHECK(PlacementPlanner::plan(nodes, engine).empty());
+    }
+
+    SECTION("a kind of accelerator that the engine does not list is left out")
+    {
+        nodes.front().accelerator = AcceleratorKindId("unheard-of");
+        const auto steps = PlacementPlanner::plan(nodes, engine);
+        CHECK(std::none_of(steps.begin(), steps.end(),
+            [&](const PlacementStep& step) { return step.runner == nodes.front().runner; }));
+    }
+}
+
+// Guards against orders that are carried out late or twice, and against placement by a runner that has restarted.
+TEST_CASE("Placement orders follow what runners say")
+{
+    const EngineProfile engine = fleetEngine();
+    RunnerDirectory directory;
+    for (const RunnerEntry& entry : fleetEntries())
+        directory.put(entry);
+    PlacementDriver driver { DataCentreId("east") };
+    TimePoint now { 10s };
+    const auto due = [&] { return driver.due(directory, fleetService(), engine, now, 1s); };
+
+    SECTION("an empty fleet is placed once its runners have stopped to arrive")
+    {
+        CHECK(due().empty());
+        now += 500ms;
+        RunnerEntry late = fleetEntries().back();
+        late.id = EndpointId("late");
+        directory.put(late);
+        CHECK(due().empty());
+        now += 900ms;
+        CHECK(due().empty());
+        now += 200ms;
+        const auto orders = due();
+        CHECK(orders.size() >= 5);
+
+        SECTION("and no order is given twice while it is carried out")
+        {
+            for (const PlaceOrder& order : orders)
+                driver.answered(order.runner, OrderOutcome::Begun, now);
+            now += 100ms;
+            CHECK(due().empty());
+        }
+
+        SECTION("a refused order waits for news of the runner")
+        {
+            const EndpointId runner = orders.front().runner;
+            for (const PlaceOrder& order : orders)
+                driver.answered(
+                    order.runner, order.runner == runner ? OrderOutcome::Refused : OrderOutcome::Begun, now);
+            now += 100ms;
+            CHECK(due().empty());
+            directory.reported(runner, 3, {}, 0);
+            now += 400ms;
+            const auto again = due();
+            REQUIRE(again.size() == 1);
+            CHECK(again.front().runner == runner);
+            CHECK(again.front().expectedOrders == 3);
+        }
+
+        SECTION("an order without an answer is given again with the same expectation, so that one of them is refused")
+        {
+            const PlaceOrder lost = orders.front();
+            for (const PlaceOrder& order : orders)
+                driver.answered(
+                    order.runner, order.runner == lost.runner ? OrderOutcome::Unknown : OrderOutcome::Begun, now);
+            now += 1300ms;
+            const auto again = due();
+            REQUIRE(again.size() == 1);
+            CHECK(again.front().runner == lost.runner);
+            CHECK(again.front().expectedOrders == lost.expectedOrders);
+        }
+
+        SECTION("a runner that restarted under its id is empty again and expects no orders")
+        {
+            for (const PlaceOrder& order : orders) {
+                driver.answered(order.runner, OrderOutcome::Begun, now);
+                directory.orderBegun(order.runner);
+                RunnerEntry placed = directory.find(order.runner)->entry;
+                placed.layers = order.layers;
+                directory.put(placed);
+            }
+            now += 2s;
+            CHECK(due().empty());
+            RunnerEntry restarted = directory.find(orders.front().runner)->entry;
+            restarted.startedAt += 1;
+            restarted.layers = {};
+            directory.put(restarted);
+            const auto again = due();
+            REQUIRE(again.size() == 1);
+            CHECK(again.front().runner == restarted.id);
+            CHECK(again.front().expectedOrders == 0);
+        }
+    }
+}
--- a/packages/gateway/fuchsialb/src/Gateway/Gateway.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/Gateway.cpp
@@ -6,6 +6,7 @@
 #include "RequestDesk.h"
 #include "StoreSession.h"
 
+#include <asio/post.hpp>
 #include <asio/signal_set.hpp>
 #include <asio/steady_timer.hpp>
 
--- a/packages/gateway/fuchsialb/src/Gateway/Gateway.h
+++ b/packages/gateway/fuchsialb/src/Gateway/Gateway.h
@@ -29,6 +29,10 @@
     /// Serves until SIGTERM or SIGINT and until the open requests are over, for the grace time at most.
     /// \return Whether all requests were over.
     virtual bool run() = 0;
+    /// Begins to stop, as SIGTERM does; callable from any thread.
+    virtual void requestStop() = 0;
+    virtual std::uint16_t callersPort() const = 0;
+    virtual std::uint16_t readinessPort() const = 0;
 };
 
 } // namespace fuchsialb
--- /dev/null
+++ b/packages/gateway/tests/EventSplitterTest.cpp
@@ -0,0 +1,49 @@
+#include "fuchsialb/src/Gateway/EventSplitter.h"
+
+#include <catch2/catch.hpp>
+
+#include <rapidcheck.h>
+
+#include <fmt/format.h>
+
+using namespace fuchsialb;
+
+// Guards against parts of events that reach a caller, whatever way the bytes are cut on the wire.
+TEST_CASE("A stream is passed on in whole events")
+{
+    rc::check("events come out unchanged and in order", [] {
+        std::string stream;
+        std::vector<std::string> events;
+        const int count = *rc::gen::inRange(0, 6);
+        for (int i = 1; i <= count; ++i) {
+            const std::string end = *rc::gen::element<std::string>("\n", "\r\n");
+            events.push_back(fmt::format("id: {}{}data: {}{}{}", i, end, i * 7, end, end));
+            stream += events.back();
+        }
+        const std::string rest = *rc::gen::element<std::string>("", "id: 9\nda");
+        stream += rest;
+        EventSplitter splitter;
+        std::vector<std::string> read;
+        std::uint64_t lastId = 0;
+        while (!stream.empty()) {
+            const auto size = static_cast<std::size_t>(*rc::gen::inRange(1, 9));
+            splitter.add(stream.substr(0, size));
+            stream.erase(0, size);
+            while (auto event = splitter.next()) {
+                read.push_back(event->text);
+                RC_ASSERT(event->id.value() == ++lastId);
+            }
+        }
+        RC_ASSERT(read == events);
+        RC_ASSERT(splitter.hasRest() == !rest.empty());
+    });
+
+    SECTION("an event without an id is passed on too")
+    {
+        EventSplitter splitter;
+        splitter.add("data: x\n\n");
+        const auto event = splitter.next();
+        REQUIRE(event);
+        CHECK_FALSE(event->id);
+    }
+}
--- a/packages/wire/tests/support/PeerMessages.cpp
+++ b/packages/wire/tests/support/PeerMessages.cpp
@@ -40,6 +40,36 @@
         return drawn;
     }
 
+    LoadTable loads(const Below& below)
+    {
+        LoadTable drawn;
+        // Whole numbers that a float holds exactly.
+        constexpr std::uint64_t exact = 1 << 20;
+        for (std::uint64_t i = below(4); i > 0; --i)
+            drawn[EndpointId(id(below))] = { static_cast<double>(below(exact)), static_cast<double>(below(exact)),
+                static_cast<double>(below(exact)) };
+        return drawn;
+    }
+
+    HostBeat beat(const Below& below)
+    {
+        HostBeat drawn;
+        drawn.sequence = below(anyNumber);
+        drawn.echo = below(anyNumber);
+        drawn.dataCentre = DataCentreId(id(below));
+        drawn.address = id(below);
+        drawn.leaving = below(2) == 1;
+        drawn.configuration = ConfigurationVersion(below(anyNumber));
+        drawn.proofAge = duration(below);
+        drawn.configurationText = raw(below);
+        drawn.load = loads(below);
+        for (std::uint64_t i = below(3); i > 0; --i)
+            drawn.remote.push_back({ DataCentreId(id(below)), loads(below) });
+        for (std::uint64_t i = below(3); i > 0; --i)
+            drawn.suspicions.push_back({ EndpointId(id(below)), duration(below) });
+        return drawn;
+    }
+
     std::uint32_t submission(const Below& below) { return static_cast<std::uint32_t>(1 + below(255)); }
 
     template <typename Message> Message gossip(const Below& below)
@@ -150,6 +180,8 @@
         return Finished { RequestId(bits(below)), submission(below), result(below) };
     case 10:
         return Returned { RequestId(bits(below)), submission(below), any(below, Reason::Internal) };
+    case 11:
+        return beat(below);
     default:
         return CancelRequest { RequestId(bits(below)), submission(below) };
     }
