--- a/packages/core/fuchsialb/src/Fleet/BeatExchange.cpp
+++ b/packages/core/fuchsialb/src/Fleet/BeatExchange.cpp
@@ -52,12 +52,16 @@
 {
     m_state.hosts.expire(now);
     dropSilent(now);
-    const bool leads = m_state.hosts.lead(m_state.dataCentre, now) == m_state.self;
+    const bool leads = m_state.hosts.leads(now);
     std::vector<Outgoing> list;
     for (const auto& [id, host] : m_state.hosts.hosts()) {
-        const bool local = host.registration.dataCentre == m_state.dataCentre;
-        if (!local && (!leads || m_state.hosts.lead(host.registration.dataCentre, now) != id))
-            continue;
+        const DataCentreId& place = host.registration.dataCentre;
+        const bool local = place == m_state.dataCentre;
+        if (!local) {
+            const std::vector<HostId> speakers = leads ? m_state.hosts.speakersOf(place, now) : std::vector<HostId>();
+            if (std::find(speakers.begin(), speakers.end(), id) == speakers.end())
+                continue;
+        }
         Peer& peer = m_peers[id];
         if (now < peer.dueAt)
             continue;
--- a/packages/core/fuchsialb/src/Fleet/HostBoard.cpp
+++ b/packages/core/fuchsialb/src/Fleet/HostBoard.cpp
@@ -71,19 +71,31 @@
     return now - known.heardAt < beatTimeout || (known.registered && now - known.addedAt < firstBeat);
 }
 
-HostId HostBoard::lead(const DataCentreId& dataCentre, TimePoint now) const
+HostId HostBoard::lead(TimePoint now) const
 {
-    const bool own = dataCentre == m_dataCentre;
-    HostId lowest = own ? m_self : HostId();
+    HostId lowest = m_self;
     for (const auto& [id, host] : m_hosts) {
-        if (host.registration.dataCentre != dataCentre || host.leaving || (own && !alive(id, now)))
-            continue;
-        if (lowest == HostId() || id < lowest)
+        const bool eligible = host.registration.dataCentre == m_dataCentre && !host.leaving && alive(id, now);
+        if (eligible && id < lowest)
             lowest = id;
     }
     return lowest;
 }
 
+std::vector<HostId> HostBoard::speakersOf(const DataCentreId& dataCentre, TimePoint now) const
+{
+    std::vector<HostId> all;
+    const Host* latest = nullptr;
+    for (const auto& [id, host] : m_hosts) {
+        if (host.registration.dataCentre != dataCentre || host.leaving)
+            continue;
+        all.push_back(id);
+        if (now - host.heardAt < remoteTimeout && (!latest || host.heardAt > latest->heardAt))
+            latest = &host;
+    }
+    return latest ? std::vector<HostId> { latest->registration.host } : all;
+}
+
 bool HostBoard::hasHosts(const DataCentreId& dataCentre) const
 {
     return dataCentre == m_dataCentre || std::any_of(m_hosts.begin(), m_hosts.end(), [&](const auto& item) {
@@ -99,7 +111,7 @@
 
 bool HostBoard::givesOrders(const DataCentreId& dataCentre, TimePoint now) const
 {
-    if (lead(m_dataCentre, now) != m_self)
+    if (!leads(now))
         return false;
     if (dataCentre == m_dataCentre)
         return true;
--- a/packages/core/fuchsialb/src/Fleet/HostBoard.h
+++ b/packages/core/fuchsialb/src/Fleet/HostBoard.h
@@ -55,9 +55,12 @@
     /// \return Number of hosts, this one included, at least 1.
     std::size_t size() const { return m_hosts.size() + 1; }
     bool alive(const HostId& host, TimePoint now) const;
-    /// \return The host that speaks for a data centre towards others: the lowest id of those alive and not leaving.
-    ///     For another data centre, whose beats don't arrive here, the lowest registered id.
-    HostId lead(const DataCentreId& dataCentre, TimePoint now) const;
+    /// \return The host that speaks for this data centre towards others: the lowest id of those alive and not leaving.
+    HostId lead(TimePoint now) const;
+    bool leads(TimePoint now) const { return lead(now) == m_self; }
+    /// \return The hosts of another data centre to send beats to: its leading host, which is the one heard of last, or
+    ///     all of them while none is heard.
+    std::vector<HostId> speakersOf(const DataCentreId& dataCentre, TimePoint now) const;
     /// \return Whether this host gives the orders to the runners of a data centre: it leads that one, or leads the
     ///     first one that is alive while that one has no host. Two hosts may each think so for a while; orders are
     ///     refused by their expectation.
--- a/packages/core/fuchsialb/src/Fleet/PathFinder.cpp
+++ b/packages/core/fuchsialb/src/Fleet/PathFinder.cpp
@@ -76,7 +76,7 @@
             continue;
         const RunnerLoad load = ignoreLoad ? RunnerLoad() : m_ledger.at(id);
         const double room = engine.cacheRoom(*accelerator, entry.layers.count()) * request.cacheLimit;
-        if (room <= 0 || load.first >= engine.slots)
+        if (room <= 0 || load.first >= engine.slots * std::min(1.0, request.cacheLimit))
             continue;
         const auto place = std::find(places.begin(), places.end(), entry.dataCentre);
         Holder holder;
--- a/packages/core/fuchsialb/src/Fleet/PathFinder.h
+++ b/packages/core/fuchsialb/src/Fleet/PathFinder.h
@@ -16,7 +16,7 @@
     DataCentreId from;
     /// Expected tokens of the request at its end.
     double tokens = 0;
-    /// Fraction of each runner's KV cache that the request may fill up to.
+    /// Fraction of each runner's KV cache, and of the slots of the first one, that the request may fill up to.
     double cacheLimit = 1;
     /// Runners that must not be on the path.
     std::set<EndpointId> avoided;
--- a/packages/core/tests/FleetPathTest.cpp
+++ b/packages/core/tests/FleetPathTest.cpp
@@ -100,10 +100,17 @@
     }
 
     SECTION("a full fleet has no path, but waiting can help")
+    {
+        while (const auto path = finder.find(request, engine, now))
+            ledger.commit(*path, request.tokens);
+        CHECK(finder.covered(request, engine, now));
+    }
+
+    SECTION("a request that no runner has memory for is known to be one")
     {
         request.tokens = 1e9;
         CHECK_FALSE(finder.find(request, engine, now));
-        CHECK(finder.covered(request, engine, now));
+        CHECK_FALSE(finder.covered(request, engine, now));
     }
 
     SECTION("runners that leave are passed over")
--- a/packages/core/tests/support/FleetSamples.h
+++ b/packages/core/tests/support/FleetSamples.h
@@ -8,7 +8,7 @@
 
 using namespace std::chrono_literals;
 
-/// A model of 40 layers of 1 GB; a token takes 200 KB of KV cache in each layer.
+/// A model of 40 layers of 1 GB; a token takes 20 KB of KV cache in each layer.
 EngineProfile fleetEngine();
 TargetId fleetService();
 /// One large, four middle and four small runners without layers.
--- a/packages/gateway/fuchsialb/src/Gateway/Gateway.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/Gateway.cpp
@@ -107,10 +107,21 @@
             return m_desk->open() == 0;
         }
 
+        void requestStop() override
+        {
+            asio::post(*m_loop, [this] { stop(); });
+        }
+
+        std::uint16_t callersPort() const override { return m_callers->port(); }
+        std::uint16_t readinessPort() const override { return m_readiness->port(); }
+
     private:
+        /// A host that can't judge API keys is of no use to callers, who find others.
         bool ready() const
         {
-            return !m_context->stopping && m_context->configuration.known() && m_context->registryReadAt != TimePoint();
+            const auto& table = m_context->configuration.table();
+            return !m_context->stopping && table && m_context->registryReadAt != TimePoint()
+                && (!table->requiresKeys || m_context->configuration.keysTrusted(bootTime()));
         }
 
         void answerReadiness(const ServerRequest& request, HttpReply& reply)
--- a/packages/gateway/fuchsialb/src/Gateway/StoreSession.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/StoreSession.cpp
@@ -151,8 +151,7 @@
 
 Duration StoreSession::configurationWait() const
 {
-    const bool leads = m_context.hosts.lead(m_context.settings.dataCentre, m_context.now()) == m_context.settings.host;
-    return leads ? provingWait : longWait;
+    return m_context.hosts.leads(m_context.now()) ? provingWait : longWait;
 }
 
 void StoreSession::tick()
--- a/packages/gateway/fuchsialb/src/Gateway/StreamCall.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/StreamCall.cpp
@@ -66,9 +66,23 @@
             return;
         }
     }
+    if (!canBePlaced(now)) {
+        refuse("layers-missing");
+        return;
+    }
     wait(AdmissionPolicy::patience(m_matched.route->latencyObjective));
 }
 
+bool StreamCall::canBePlaced(TimePoint now) const
+{
+    if (!m_matched.service->engine)
+        return true;
+    const PathFinder finder(m_context.runners, m_context.ledger);
+    const PathRequest wanted { m_matched.service->name, m_context.settings.dataCentre, expectedTokens(),
+        AdmissionPolicy::cacheLimit(m_matched.urgency), m_avoided };
+    return finder.covered(wanted, *m_matched.service->engine, now);
+}
+
 void StreamCall::wait(Duration patience)
 {
     m_waiting = true;
@@ -306,7 +320,6 @@
 void StreamCall::blame(const EndpointId& runner, std::string_view cause, Duration suspension)
 {
     m_context.runners.failed(runner, m_context.now(), suspension);
-    m_avoided.insert(runner);
     logBlame(runner, cause);
 }
 
--- a/packages/gateway/fuchsialb/src/Gateway/StreamCall.h
+++ b/packages/gateway/fuchsialb/src/Gateway/StreamCall.h
@@ -30,6 +30,8 @@
 private:
     void stopRunner() override;
 
+    /// \return Whether runners hold all layers and are large enough, so that waiting can help.
+    bool canBePlaced(TimePoint now) const;
     void wait(Duration patience);
     std::optional<Path> findPath(TimePoint now) const;
     void run(Path path);
--- a/packages/net/fuchsialb/src/Net/CurlExchange.cpp
+++ b/packages/net/fuchsialb/src/Net/CurlExchange.cpp
@@ -180,6 +180,8 @@
 
 bool CurlExchange::mayBeSentAgain() const
 {
+    if (m_request.sendOnce)
+        return wroteNothing();
     return m_request.method == "GET" || m_request.method == "HEAD" || wroteNothing();
 }
 
--- a/packages/net/fuchsialb/src/Net/HttpClient.h
+++ b/packages/net/fuchsialb/src/Net/HttpClient.h
@@ -31,6 +31,9 @@
     Duration silenceTimeout { 0 };
     /// Forces a connection of its own, for probes of a connection that may have gone silent.
     bool freshConnection = false;
+    /// Written to one connection only; a kept connection that turns out to be closed is then a failure, also for
+    /// methods that may be repeated.
+    bool sendOnce = false;
     /// Path and query to send as they are, in place of those of `url`; for requests that are passed on.
     std::string target {};
 };
