--- a/packages/core/fuchsialb/src/Fleet/EngineProfile.cpp
+++ b/packages/core/fuchsialb/src/Fleet/EngineProfile.cpp
@@ -49,8 +49,9 @@
     if (layers == 0)
         return 0;
     constexpr double tokensPerThousand = 1000;
-    const double context
-        = sequences * static_cast<double>(usualPromptTokens + usualOutputTokens / 2) / tokensPerThousand;
+    // On average half of the output is written.
+    const double tokens = static_cast<double>(usualPromptTokens) + static_cast<double>(usualOutputTokens) / 2;
+    const double context = sequences * tokens / tokensPerThousand;
     const double whole
         = stepMilliseconds + sequences * stepMillisecondsPerSequence + context * stepMillisecondsPerThousandTokens;
     return whole * accelerator.stepFactor * count / layers;
--- a/packages/core/fuchsialb/src/Fleet/PlacementPlanner.cpp
+++ b/packages/core/fuchsialb/src/Fleet/PlacementPlanner.cpp
@@ -139,7 +139,7 @@
                 = neighbour(list, engine, tokens, [&](const LayerRange& held) { return held.first == gap.end; });
             const std::uint32_t leftSpare = left ? spareLayers(*left, engine, tokens) : 0;
             const std::uint32_t rightSpare = right ? spareLayers(*right, engine, tokens) : 0;
-            if (leftSpare + rightSpare < gap.count())
+            if (leftSpare + rightSpare < std::max(1U, gap.count()))
                 continue;
             // Each side takes a share in proportion to what it can hold.
             std::uint32_t toLeft = gap.count() * leftSpare / (leftSpare + rightSpare);
--- a/packages/core/fuchsialb/src/Fleet/RoutingTable.h
+++ b/packages/core/fuchsialb/src/Fleet/RoutingTable.h
@@ -58,8 +58,6 @@
 /// \brief A service: either runners of a layered model (`engine`) or plain endpoints.
 struct ServiceProfile {
     TargetId name;
-    std::string healthPath;
-    std::uint32_t maxConnections = 0;
     std::optional<EngineProfile> engine;
 };
 
@@ -69,13 +67,6 @@
     std::optional<std::uint32_t> urgency;
 };
 
-/// \brief Limits on what a caller may send.
-struct CallerLimits {
-    Bytes maxHeaders { 16'384 };
-    Bytes maxBody { 4'194'304 };
-    Duration idleTimeout { std::chrono::seconds(15) };
-};
-
 /// \brief The configuration that requests are matched against; immutable once built.
 struct RoutingTable {
     ConfigurationVersion version;
@@ -84,7 +75,6 @@
     /// By API key. Empty together with `requiresKeys` unset: no route needs a key.
     std::map<std::string, OrganisationProfile, std::less<>> organisations;
     bool requiresKeys = false;
-    CallerLimits limits;
 
     /// \return The route of that host with the longest prefix of `path`, or null.
     const Route* match(std::string_view host, std::string_view path) const;
--- a/packages/core/fuchsialb/src/Fleet/RunnerDirectory.h
+++ b/packages/core/fuchsialb/src/Fleet/RunnerDirectory.h
@@ -21,8 +21,6 @@
     bool draining = false;
     /// Layers that it holds; empty when it holds none.
     LayerRange layers;
-    /// Version of the weights that it holds.
-    std::uint32_t weightsVersion = 0;
     AcceleratorKindId accelerator;
     /// Start of the process, Unix milliseconds; a change means that it restarted and holds nothing of before.
     std::int64_t startedAt = 0;
--- a/packages/gateway/fuchsialb/src/Gateway/GatewaySettings.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/GatewaySettings.cpp
@@ -107,8 +107,6 @@
     if (reader.flag("keys_need_proof", false))
         settings.keyTrust = reader.milliseconds("key_trust_ms", std::chrono::seconds(5));
     settings.stopGrace = reader.seconds("stop_grace_s", settings.stopGrace);
-    settings.drainBound = reader.milliseconds("drain_bound_ms", settings.drainBound);
-    settings.configurationBound = reader.milliseconds("configuration_bound_ms", settings.configurationBound);
     settings.repeatRatio = reader.number("repeat_ratio", settings.repeatRatio);
     settings.repeatWindow = reader.seconds("repeat_window_s", settings.repeatWindow);
     settings.repeatAllowance = reader.number("repeat_allowance", settings.repeatAllowance);
--- a/packages/gateway/fuchsialb/src/Gateway/GatewaySettings.h
+++ b/packages/gateway/fuchsialb/src/Gateway/GatewaySettings.h
@@ -24,10 +24,6 @@
     Duration keyTrust { 0 };
     /// Time between SIGTERM and the end of the process.
     Duration stopGrace { std::chrono::seconds(8) };
-    /// Runners announced as leaving get no new work after this time.
-    Duration drainBound { std::chrono::seconds(2) };
-    /// Longest time until a configuration change is in force.
-    Duration configurationBound { std::chrono::seconds(2) };
     double repeatRatio = 0.1;
     Duration repeatWindow { std::chrono::seconds(10) };
     double repeatAllowance = 0;
