Place each model by a driver of its own, and take out what stood twice

Cause: one placement driver served all models of a data centre. Its set of known runners changed with each model it was asked about, so it never counted as settled and no layer was ever ordered where two models are served. Found by reading; ruled out that the planner mixes models: it only sees the nodes of one. Change: a driver belongs to one data centre and one model.

--- a/packages/core/fuchsialb/src/Fleet/EngineProfile.h
+++ b/packages/core/fuchsialb/src/Fleet/EngineProfile.h
@@ -14,8 +14,6 @@
     double memoryMegabytes = 0;
     /// Time of a token step relative to the engine's nominal step; 1 is nominal, more is slower.
     double stepFactor = 1;
-    /// Time to read prompt tokens relative to the engine's nominal rate; more is slower.
-    double readFactor = 1;
 };
 
 /// \brief Cost model of an engine whose layers are spread over many runners. Times are for all layers together.
@@ -29,11 +27,8 @@
     double stepMilliseconds = 0;
     double stepMillisecondsPerSequence = 0;
     double stepMillisecondsPerThousandTokens = 0;
-    double readTokensPerMillisecond = 1;
     /// Time to load the whole model into an idle fleet.
     Duration loadTime { 0 };
-    std::uint32_t loadsAtOnce = 1;
-    Duration reportLag { 0 };
     std::int64_t usualPromptTokens = 0;
     std::int64_t usualOutputTokens = 0;
     std::vector<AcceleratorProfile> accelerators;
--- a/packages/core/fuchsialb/src/Fleet/PlacementDriver.cpp
+++ b/packages/core/fuchsialb/src/Fleet/PlacementDriver.cpp
@@ -35,8 +35,8 @@
     std::erase_if(m_pausedUntil, [&](const auto& item) { return now >= item.second; });
 }
 
-std::vector<PlaceOrder> PlacementDriver::due(const RunnerDirectory& directory, const TargetId& service,
-    const EngineProfile& engine, TimePoint now, Duration settled)
+std::vector<PlaceOrder> PlacementDriver::due(
+    const RunnerDirectory& directory, const EngineProfile& engine, TimePoint now, Duration settled)
 {
     forgetFinished(directory, now);
     std::vector<PlacementNode> nodes;
@@ -44,7 +44,7 @@
     bool nothingHeld = true;
     for (const auto& [id, runner] : directory.runners()) {
         const RunnerEntry& entry = runner.entry;
-        if (entry.service != service || entry.dataCentre != m_dataCentre || entry.draining)
+        if (entry.service != m_service || entry.dataCentre != m_dataCentre || entry.draining)
             continue;
         known.insert(id);
         // Layers of a runner that fails requests are looked after elsewhere; it gets no orders meanwhile.
@@ -105,7 +105,6 @@
     switch (outcome) {
     case OrderOutcome::Begun:
     case OrderOutcome::Done:
-        found->second.begun = true;
         found->second.expectedBy = std::max(now, found->second.abandonAt - loadExtra);
         break;
     case OrderOutcome::Refused:
--- a/packages/core/fuchsialb/src/Fleet/PlacementDriver.h
+++ b/packages/core/fuchsialb/src/Fleet/PlacementDriver.h
@@ -31,22 +31,24 @@
     Unknown,
 };
 
-/// \brief Gives the orders that bring the runners of one data centre to the planned placement.
+/// \brief Gives the orders that bring one model's runners in one data centre to the planned placement.
 ///
 /// Holds no state that has to survive: what runners hold is read from the registry, and an order in progress that a
 /// successor doesn't know of is refused by its expected number of orders when it is given again.
 class PlacementDriver {
 public:
     /// \param dataCentre Only its runners are placed.
-    explicit PlacementDriver(DataCentreId dataCentre)
+    /// \param service The model; each one has a driver of its own.
+    PlacementDriver(DataCentreId dataCentre, TargetId service)
         : m_dataCentre(std::move(dataCentre))
+        , m_service(std::move(service))
     {
     }
 
     /// \param settled How long the set of runners must be unchanged before the first placement of an empty fleet.
     /// \return Orders to give now.
-    std::vector<PlaceOrder> due(const RunnerDirectory& directory, const TargetId& service, const EngineProfile& engine,
-        TimePoint now, Duration settled);
+    std::vector<PlaceOrder> due(
+        const RunnerDirectory& directory, const EngineProfile& engine, TimePoint now, Duration settled);
     void answered(const EndpointId& runner, OrderOutcome outcome, TimePoint now);
     /// \return Runners with an order in progress whose state should have changed by now and is to be asked for.
     std::vector<EndpointId> overdue(TimePoint now);
@@ -55,7 +57,6 @@
     struct Pending {
         PlaceOrder order;
         std::int64_t runnerStartedAt = 0;
-        bool begun = false;
         TimePoint expectedBy {};
         TimePoint abandonAt {};
     };
@@ -65,6 +66,7 @@
     void forgetFinished(const RunnerDirectory& directory, TimePoint now);
 
     DataCentreId m_dataCentre;
+    TargetId m_service;
     std::map<EndpointId, Pending> m_pending;
     /// Runners that refused an order, until they are asked again.
     std::map<EndpointId, TimePoint> m_pausedUntil;
--- a/packages/core/fuchsialb/src/Fleet/RoutingTable.h
+++ b/packages/core/fuchsialb/src/Fleet/RoutingTable.h
@@ -44,8 +44,6 @@
     Duration timeout { 0 };
     /// Time to the answer, or to the first event, that callers hope for.
     Duration latencyObjective { 0 };
-    /// Longest pause between two events that callers hope for.
-    Duration pauseObjective { 0 };
     /// Most runners that one request may run on.
     std::uint32_t maxAttempts = 1;
     /// 0 is the most urgent.
--- a/packages/core/fuchsialb/src/Fleet/RunnerDirectory.h
+++ b/packages/core/fuchsialb/src/Fleet/RunnerDirectory.h
@@ -24,7 +24,6 @@
     AcceleratorKindId accelerator;
     /// Start of the process, Unix milliseconds; a change means that it restarted and holds nothing of before.
     std::int64_t startedAt = 0;
-    std::uint32_t slots = 1;
 
     bool operator==(const RunnerEntry&) const = default;
 };
--- a/packages/core/tests/FleetPlacementTest.cpp
+++ b/packages/core/tests/FleetPlacementTest.cpp
@@ -113,9 +113,9 @@
     RunnerDirectory directory;
     for (const RunnerEntry& entry : fleetEntries())
         directory.put(entry);
-    PlacementDriver driver { DataCentreId("east") };
+    PlacementDriver driver(DataCentreId("east"), fleetService());
     TimePoint now { 10s };
-    const auto due = [&] { return driver.due(directory, fleetService(), engine, now, 1s); };
+    const auto due = [&] { return driver.due(directory, engine, now, 1s); };
 
     SECTION("an empty fleet is placed once its runners have stopped to arrive")
     {
@@ -194,3 +194,28 @@
         }
     }
 }
+
+// Guards against a model that is never placed because the runners of another one arrive and leave.
+TEST_CASE("Models in one data centre are placed apart from each other")
+{
+    const EngineProfile engine = fleetEngine();
+    RunnerDirectory directory;
+    for (RunnerEntry entry : fleetEntries()) {
+        directory.put(entry);
+        entry.id = EndpointId("other-" + entry.id.value());
+        entry.service = TargetId("other");
+        directory.put(entry);
+    }
+    PlacementDriver first(DataCentreId("east"), fleetService());
+    PlacementDriver second(DataCentreId("east"), TargetId("other"));
+    TimePoint now { 10s };
+    CHECK(first.due(directory, engine, now, 1s).empty());
+    CHECK(second.due(directory, engine, now, 1s).empty());
+    now += 1s;
+    for (const PlaceOrder& order : first.due(directory, engine, now, 1s))
+        CHECK_FALSE(order.runner.value().starts_with("other-"));
+    const auto orders = second.due(directory, engine, now, 1s);
+    CHECK(orders.size() >= 5);
+    for (const PlaceOrder& order : orders)
+        CHECK(order.runner.value().starts_with("other-"));
+}
--- a/packages/core/tests/support/FleetSamples.cpp
+++ b/packages/core/tests/support/FleetSamples.cpp
@@ -15,8 +15,8 @@
     engine.loadTime = 4s;
     engine.usualPromptTokens = 500;
     engine.usualOutputTokens = 100;
-    engine.accelerators = { { AcceleratorKindId("large"), 20'000, 1, 1 }, { AcceleratorKindId("middle"), 10'000, 4, 4 },
-        { AcceleratorKindId("small"), 6'000, 8, 8 } };
+    engine.accelerators = { { AcceleratorKindId("large"), 20'000, 1 }, { AcceleratorKindId("middle"), 10'000, 4 },
+        { AcceleratorKindId("small"), 6'000, 8 } };
     return engine;
 }
 
--- a/packages/gateway/fuchsialb/src/Gateway/Call.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/Call.cpp
@@ -57,6 +57,29 @@
     over(answerName(answer), cause);
 }
 
+void Call::passOn(HttpResponse response)
+{
+    response.headers = m_context.translator.callerHeaders(response);
+    if (m_context.stopping)
+        m_reply->closeConnection();
+    const std::uint32_t status = response.status;
+    m_reply->send(std::move(response));
+    completed(status);
+}
+
+bool Call::isGenuine(const RunnerAnswer& answer) const
+{
+    return answer.sealed && !answer.encoded && answer.requestId == m_matched.request.id;
+}
+
+void Call::watchCaller()
+{
+    m_reply->onClosed([weak = weak_from_this()] {
+        if (const auto self = weak.lock())
+            self->callerLeft();
+    });
+}
+
 void Call::completed(std::uint32_t status)
 {
     m_context.metrics.observe("request", m_context.now() - m_matched.receivedAt);
--- a/packages/gateway/fuchsialb/src/Gateway/PlacementDuty.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/PlacementDuty.cpp
@@ -27,38 +27,37 @@
     for (const auto& [id, runner] : m_context.runners.runners())
         dataCentres.insert(runner.entry.dataCentre);
     for (const DataCentreId& dataCentre : dataCentres) {
-        if (!m_context.hosts.givesOrders(dataCentre, now)) {
-            m_drivers.erase(dataCentre);
-            continue;
-        }
-        if (!m_drivers.contains(dataCentre)) {
-            m_drivers.emplace(dataCentre, PlacementDriver(dataCentre));
-            LogLine line("placement-taken");
-            line.add("data_centre", dataCentre.value());
-            m_context.log.log(line);
-        }
+        const bool gives = m_context.hosts.givesOrders(dataCentre, now);
         for (const auto& [name, service] : table->services) {
-            if (service.engine)
-                serve(dataCentre, service, now);
+            const Duty duty(dataCentre, name);
+            if (service.engine && gives)
+                serve(duty, *service.engine, now);
+            else
+                m_drivers.erase(duty);
         }
     }
 }
 
-void PlacementDuty::serve(const DataCentreId& dataCentre, const ServiceProfile& service, TimePoint now)
+void PlacementDuty::serve(const Duty& duty, const EngineProfile& engine, TimePoint now)
 {
-    PlacementDriver& driver = m_drivers.at(dataCentre);
-    for (const PlaceOrder& order : driver.due(m_context.runners, service.name, *service.engine, now, settleTime))
-        give(dataCentre, order);
-    for (const EndpointId& runner : driver.overdue(now))
+    const auto [found, taken] = m_drivers.try_emplace(duty, duty.first, duty.second);
+    if (taken) {
+        LogLine line("placement-taken");
+        line.add("data_centre", duty.first.value()).add("model", duty.second.value());
+        m_context.log.log(line);
+    }
+    for (const PlaceOrder& order : found->second.due(m_context.runners, engine, now, settleTime))
+        give(duty, order);
+    for (const EndpointId& runner : found->second.overdue(now))
         ask(runner);
 }
 
-void PlacementDuty::give(const DataCentreId& dataCentre, const PlaceOrder& order)
+void PlacementDuty::give(const Duty& duty, const PlaceOrder& order)
 {
     HttpRequest request = m_context.translator.placeRequest(order);
     request.timeout = orderTimeout;
     request.freshConnection = true;
-    const auto conclude = [this, dataCentre, order](OrderOutcome outcome) {
+    const auto conclude = [this, duty, order](OrderOutcome outcome) {
         LogLine line("placement-ordered");
         line.add("runner", order.runner.value()).add("first", order.layers.first).add("end", order.layers.end);
         line.add("expected_orders", static_cast<std::int64_t>(order.expectedOrders));
@@ -66,7 +65,7 @@
         m_context.log.log(line);
         if (outcome == OrderOutcome::Begun)
             m_context.runners.orderBegun(order.runner);
-        const auto driver = m_drivers.find(dataCentre);
+        const auto driver = m_drivers.find(duty);
         if (driver != m_drivers.end())
             driver->second.answered(order.runner, outcome, m_context.now());
         if (outcome == OrderOutcome::Refused || outcome == OrderOutcome::Unknown)
@@ -91,7 +90,9 @@
     HttpHandlers handlers;
     handlers.onResponse = [this, runner](const HttpResponse& response) {
         const auto report = m_context.translator.report(response);
-        if (report.ok())
+        if (!report.ok())
+            m_context.log.log(LogLine("report-unreadable").add("runner", runner.value()));
+        else
             m_context.runners.reported(runner, report->ordersBegun, report->layers, report->startedAt);
     };
     static_cast<void>(m_context.http.start(std::move(request), std::move(handlers)));
--- a/packages/gateway/fuchsialb/src/Gateway/PlacementDuty.h
+++ b/packages/gateway/fuchsialb/src/Gateway/PlacementDuty.h
@@ -3,6 +3,7 @@
 #include "GatewayContext.h"
 
 #include <map>
+#include <utility>
 
 namespace fuchsialb {
 
@@ -17,13 +18,16 @@
     void tick();
 
 private:
-    void serve(const DataCentreId& dataCentre, const ServiceProfile& service, TimePoint now);
-    void give(const DataCentreId& dataCentre, const PlaceOrder& order);
+    /// A data centre and a model.
+    using Duty = std::pair<DataCentreId, TargetId>;
+
+    void serve(const Duty& duty, const EngineProfile& engine, TimePoint now);
+    void give(const Duty& duty, const PlaceOrder& order);
     /// Asks a runner for its state, which the registry shows late or not at all.
     void ask(const EndpointId& runner);
 
     GatewayContext& m_context;
-    std::map<DataCentreId, PlacementDriver> m_drivers;
+    std::map<Duty, PlacementDriver> m_drivers;
     TimePoint m_startedAt {};
 };
 
--- a/packages/gateway/fuchsialb/src/Gateway/PlainCall.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/PlainCall.cpp
@@ -36,10 +36,7 @@
 
 void PlainCall::start()
 {
-    m_reply->onClosed([weak = weak_from_this()] {
-        if (const auto self = weak.lock())
-            static_cast<PlainCall&>(*self).callerLeft();
-    });
+    watchCaller();
     if (!send())
         answer(OwnAnswer::NotRun, "no-endpoint", refusedReturn);
 }
@@ -113,7 +110,7 @@
         return;
     }
     m_mayHaveRun = true;
-    const bool own = said.sealed && !said.encoded && said.requestId == m_matched.request.id;
+    const bool own = isGenuine(said);
     if (own && response.status < serverError) {
         m_context.runners.succeeded(m_endpoint, now);
         passOn(std::move(response));
@@ -156,16 +153,6 @@
         answer(OwnAnswer::NotRun, cause, refusedReturn);
 }
 
-void PlainCall::passOn(HttpResponse response)
-{
-    response.headers = m_context.translator.callerHeaders(response);
-    if (m_context.stopping)
-        m_reply->closeConnection();
-    const std::uint32_t status = response.status;
-    m_reply->send(std::move(response));
-    completed(status);
-}
-
 void PlainCall::tick(TimePoint now)
 {
     if (isOver() || now < m_matched.deadline)
--- a/packages/gateway/fuchsialb/src/Gateway/PlainCall.h
+++ b/packages/gateway/fuchsialb/src/Gateway/PlainCall.h
@@ -22,7 +22,6 @@
     bool send();
     void takeResponse(HttpResponse response);
     void takeFailure(const HttpFailure& failure);
-    void passOn(HttpResponse response);
     void leaveEndpoint();
     bool mayTryAgain(TimePoint now);
 
--- a/packages/gateway/fuchsialb/src/Gateway/StoreSession.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/StoreSession.cpp
@@ -16,7 +16,7 @@
     constexpr Duration renewPeriod = std::chrono::milliseconds(1500);
     constexpr Duration firstRetry = std::chrono::milliseconds(150);
     constexpr std::uint32_t mostDoublings = 3;
-    // Where the hosts of a data centre agree on a key for their messages.
+    // Where all hosts agree on a key for their messages.
     constexpr std::string_view sharedKey = "fuchsialb/hosts/.key";
     constexpr int sharedKeyWords = 4;
     // The leading host's watch of the configuration proves that keys are still valid, and it tells the others; so it
@@ -276,8 +276,10 @@
             continue;
         }
         const json object = json::parse(item.value, nullptr, false);
-        if (!object.is_object())
+        if (!object.is_object()) {
+            m_context.log.log(LogLine("host-unreadable").add("host", id.value()));
             continue;
+        }
         const RegisteredHost host { id, DataCentreId(object.value("data_centre", "")), object.value("address", "") };
         if (whole)
             hosts.push_back(host);
@@ -296,6 +298,7 @@
         return;
     m_context.store.createLease(hostLease, [this](absl::StatusOr<LeaseId> lease) {
         if (!lease.ok()) {
+            m_context.log.log(LogLine("host-lease-refused").add("cause", reasonName(reasonOf(lease.status()))));
             m_lease = LeaseId();
             renewLater();
             return;
--- a/packages/gateway/fuchsialb/src/Gateway/StreamCall.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/StreamCall.cpp
@@ -54,10 +54,7 @@
 
 void StreamCall::start()
 {
-    m_reply->onClosed([weak = weak_from_this()] {
-        if (const auto self = weak.lock())
-            static_cast<StreamCall&>(*self).callerLeft();
-    });
+    watchCaller();
     const TimePoint now = m_context.now();
     // Requests that wait must not be overtaken by new ones of the same or a lower urgency.
     if (!m_context.waiting.waitsBefore(m_matched.urgency)) {
@@ -162,9 +159,7 @@
     m_lastFirst = m_path.front().runner;
     m_ranAt.insert(m_lastFirst);
     m_context.ledger.commit(m_path, expectedTokens());
-    ++m_run;
     ++m_runs;
-    m_badAnswer = false;
     m_splitter = {};
     m_stalls.emplace(StallDetector::Limits {}, now);
     if (m_runs == 1)
@@ -197,8 +192,8 @@
 HttpHandlers StreamCall::handlers()
 {
     const auto self = std::static_pointer_cast<StreamCall>(shared_from_this());
-    const std::uint64_t run = m_run;
-    const auto current = [self, run] { return !self->isOver() && self->m_run == run && self->m_exchange.has_value(); };
+    const std::uint32_t run = m_runs;
+    const auto current = [self, run] { return !self->isOver() && self->m_runs == run && self->m_exchange.has_value(); };
     HttpHandlers handlers;
     handlers.onHead = [self, current](const HttpResponse& head) { return current() && self->takeHead(head); };
     handlers.onPiece = [self, current](std::string_view piece) {
@@ -218,9 +213,7 @@
 
 bool StreamCall::takeHead(const HttpResponse& head)
 {
-    const RunnerAnswer answer = m_context.translator.runnerAnswer(head);
-    m_badAnswer = !answer.sealed || answer.encoded || answer.requestId != m_matched.request.id;
-    if (m_badAnswer)
+    if (!isGenuine(m_context.translator.runnerAnswer(head)))
         return false;
     if (!m_head)
         m_head = head;
@@ -258,7 +251,7 @@
 {
     const RunnerAnswer answer = m_context.translator.runnerAnswer(response);
     const bool succeeded = response.status >= 200 && response.status < 300;
-    if (succeeded && m_head && !m_badAnswer) {
+    if (succeeded && m_head) {
         if (m_splitter.hasRest()) {
             blame(m_path.front().runner, "event-cut", brokenSuspension);
             leavePath();
@@ -279,18 +272,11 @@
         takeRefusal(answer);
         return;
     }
-    const bool ownAnswer = answer.sealed && !answer.encoded && answer.requestId == m_matched.request.id;
     leavePath();
-    if (m_begun || !ownAnswer) {
+    if (m_begun || !isGenuine(answer))
         failOver("runner-error", true);
-        return;
-    }
-    response.headers = m_context.translator.callerHeaders(response);
-    if (m_context.stopping)
-        m_reply->closeConnection();
-    const std::uint32_t status = response.status;
-    m_reply->send(std::move(response));
-    completed(status);
+    else
+        passOn(std::move(response));
 }
 
 void StreamCall::takeRefusal(const RunnerAnswer& answer)
@@ -407,25 +393,28 @@
 void StreamCall::askForStall()
 {
     const auto self = std::static_pointer_cast<StreamCall>(shared_from_this());
-    const std::uint64_t run = m_run;
+    const std::uint32_t run = m_runs;
     HttpRequest request = m_context.translator.reportRequest(m_path.front().address);
     request.timeout = reportTimeout;
     HttpHandlers handlers;
     handlers.onResponse = [self, run](const HttpResponse& response) {
-        if (self->isOver() || self->m_run != run || !self->m_exchange)
+        if (self->isOver() || self->m_runs != run || !self->m_exchange)
             return;
         const auto report = self->m_context.translator.report(response);
         if (report.ok())
             self->takeReport(*report);
+        else
+            self->m_context.log.log(self->logLine("report-unreadable"));
     };
     handlers.onFailure = [self, run](const HttpFailure& failure) {
-        if (self->isOver() || self->m_run != run || !self->m_exchange || reasonOf(failure.status) == Reason::Cancelled)
+        if (self->isOver() || self->m_runs != run || !self->m_exchange || reasonOf(failure.status) == Reason::Cancelled)
             return;
         // A copy: the path changes when the stream goes on elsewhere.
         const EndpointId first = self->m_path.front().runner;
         self->blameDead(first, "silent");
     };
-    static_cast<void>(m_context.http.start(std::move(request), std::move(handlers)));
+    if (!m_context.http.start(std::move(request), std::move(handlers)).ok())
+        m_context.log.log(logLine("report-not-asked"));
 }
 
 void StreamCall::takeReport(const RunnerReport& report)
--- a/packages/gateway/fuchsialb/src/Gateway/StreamCall.h
+++ b/packages/gateway/fuchsialb/src/Gateway/StreamCall.h
@@ -65,13 +65,11 @@
     Path m_path;
     std::optional<HttpExchangeId> m_exchange;
     /// Rises with each run, so that late callbacks of an earlier one are told apart.
-    std::uint64_t m_run = 0;
     std::uint32_t m_runs = 0;
     /// First runner of the last run.
     EndpointId m_lastFirst;
     bool m_mayHaveRun = false;
     bool m_begun = false;
-    bool m_badAnswer = false;
     std::optional<std::uint64_t> m_lastEvent;
     EventSplitter m_splitter;
     std::optional<HttpResponse> m_head;
--- a/packages/gateway/fuchsialb/src/Gateway/Translator.h
+++ b/packages/gateway/fuchsialb/src/Gateway/Translator.h
@@ -77,7 +77,6 @@
     LayerRange layers;
     std::uint64_t ordersBegun = 0;
     std::int64_t startedAt = 0;
-    bool busy = false;
     std::vector<StalledRequest> stalled;
 };
 
--- a/packages/net/tests/AsioCurlClientTest.cpp
+++ b/packages/net/tests/AsioCurlClientTest.cpp
@@ -119,6 +119,7 @@
 
             THEN("no answer is held until a timer of curl fires")
             {
+                // The earliest of curl's timers that would notice the answer fires after 200 ms.
                 for (const auto& time : times)
                     CHECK(time < 150ms);
             }
