Keep arriving runners for the layers of those that leave

While seven runners are replaced one after the other, the new one arrives about a second before the old one announces that it leaves. It was spent at once on layers that others held; the layers of the old one then went to its neighbours, whose KV cache shrank under requests promised there (352 preempted), until every data centre lacked layers. A runner suspended for 0.3 s after it refused a request counted as gone, so its layers were placed again as well. Change: a runner that arrives empty at a placed model is kept for three seconds; gaps go to empty runners, then to runners whose layers others hold too, then to the neighbours, first within what is not promised there; only dead runners lose their layers.

--- a/packages/core/fuchsialb/src/Fleet/PlacementDriver.cpp
+++ b/packages/core/fuchsialb/src/Fleet/PlacementDriver.cpp
@@ -14,6 +14,10 @@
     constexpr int loadSlack = 6;
     constexpr Duration loadExtra = std::chrono::milliseconds(1500);
 
+    // How long a runner that arrives empty is kept for a gap. Where runners are replaced one after the other, the old
+    // one leaves within about a second of the arrival of the new one.
+    constexpr Duration spareTime = std::chrono::seconds(3);
+
     // A runner that crashed is usually back, empty, within a few seconds, and is then given the layers it had.
     constexpr Duration restartTime = std::chrono::milliseconds(4500);
 
@@ -35,36 +39,61 @@
     std::erase_if(m_pausedUntil, [&](const auto& item) { return now >= item.second; });
 }
 
-std::vector<PlaceOrder> PlacementDriver::due(
-    const RunnerDirectory& directory, const EngineProfile& engine, TimePoint now, Duration settled)
+std::vector<PlacementNode> PlacementDriver::nodes(
+    const RunnerDirectory& directory, const LoadLedger& ledger, TimePoint now) const
 {
-    forgetFinished(directory, now);
-    std::vector<PlacementNode> nodes;
-    std::set<EndpointId> known;
-    bool nothingHeld = true;
+    std::vector<PlacementNode> list;
     for (const auto& [id, runner] : directory.runners()) {
         const RunnerEntry& entry = runner.entry;
         if (entry.service != m_service || entry.dataCentre != m_dataCentre || entry.draining)
             continue;
-        known.insert(id);
-        // Layers of a runner that fails requests are looked after elsewhere; it gets no orders meanwhile.
-        const bool failing = now < runner.suspendedUntil;
+        // Layers of a dead runner are placed elsewhere; it gets no orders meanwhile.
         const auto pending = m_pending.find(id);
-        if (failing && pending == m_pending.end())
+        if (runner.dead(now) && pending == m_pending.end())
             continue;
-        const LayerRange layers = pending != m_pending.end() ? pending->second.order.layers : entry.layers;
-        const bool idle = pending == m_pending.end() && !m_pausedUntil.contains(id);
-        nothingHeld = nothingHeld && layers.count() == 0;
-        nodes.push_back({ id, entry.accelerator, layers, idle });
+        PlacementNode node;
+        node.runner = id;
+        node.accelerator = entry.accelerator;
+        node.layers = pending != m_pending.end() ? pending->second.order.layers : entry.layers;
+        node.idle = pending == m_pending.end() && !m_pausedUntil.contains(id);
+        const auto arrival = m_arrivals.find(id);
+        node.spare = arrival == m_arrivals.end() || now - arrival->second < spareTime;
+        node.promised = ledger.at(id).cache;
+        list.push_back(std::move(node));
     }
-    if (known != m_known) {
-        m_known = std::move(known);
-        m_changedAt = now;
+    return list;
+}
+
+void PlacementDriver::noteArrivals(const RunnerDirectory& directory, bool nothingHeld, TimePoint now)
+{
+    // This driver has not seen the runners before, or no request can depend on one of them yet.
+    const bool first = m_arrivals.empty() || nothingHeld;
+    std::map<EndpointId, TimePoint> arrivals;
+    bool changed = false;
+    for (const auto& [id, runner] : directory.runners()) {
+        if (runner.entry.service != m_service || runner.entry.dataCentre != m_dataCentre || runner.entry.draining)
+            continue;
+        const auto known = m_arrivals.find(id);
+        changed = changed || known == m_arrivals.end();
+        arrivals.emplace(id, known != m_arrivals.end() ? known->second : first ? TimePoint() : now);
     }
+    if (changed || arrivals.size() != m_arrivals.size())
+        m_changedAt = now;
+    m_arrivals = std::move(arrivals);
+}
+
+std::vector<PlaceOrder> PlacementDriver::due(const RunnerDirectory& directory, const LoadLedger& ledger,
+    const EngineProfile& engine, TimePoint now, Duration settled)
+{
+    forgetFinished(directory, now);
+    const auto holdsNothing = [](const PlacementNode& node) { return node.layers.count() == 0; };
+    std::vector<PlacementNode> current = nodes(directory, ledger, now);
+    const bool nothingHeld = std::all_of(current.begin(), current.end(), holdsNothing);
+    noteArrivals(directory, nothingHeld, now);
     std::vector<PlaceOrder> orders;
     if (nothingHeld && now - m_changedAt < settled)
         return orders;
-    for (const PlacementStep& step : plan(nodes, engine, now)) {
+    for (const PlacementStep& step : plan(current, engine, now)) {
         const RunnerDirectory::Runner* runner = directory.find(step.runner);
         if (!runner || m_pending.contains(step.runner) || m_pausedUntil.contains(step.runner))
             continue;
--- a/packages/core/fuchsialb/src/Fleet/PlacementDriver.h
+++ b/packages/core/fuchsialb/src/Fleet/PlacementDriver.h
@@ -1,11 +1,11 @@
 #pragma once
 
+#include "LoadLedger.h"
 #include "PlacementPlanner.h"
 #include "RunnerDirectory.h"
 
 #include <map>
 #include <optional>
-#include <set>
 
 namespace fuchsialb {
 
@@ -45,10 +45,11 @@
     {
     }
 
+    /// \param ledger What requests were promised at each runner.
     /// \param settled How long the set of runners must be unchanged before the first placement of an empty fleet.
     /// \return Orders to give now.
-    std::vector<PlaceOrder> due(
-        const RunnerDirectory& directory, const EngineProfile& engine, TimePoint now, Duration settled);
+    std::vector<PlaceOrder> due(const RunnerDirectory& directory, const LoadLedger& ledger, const EngineProfile& engine,
+        TimePoint now, Duration settled);
     void answered(const EndpointId& runner, OrderOutcome outcome, TimePoint now);
     /// \return Runners with an order in progress whose state should have changed by now and is to be asked for.
     std::vector<EndpointId> overdue(TimePoint now);
@@ -64,13 +65,17 @@
     std::vector<PlacementStep> plan(
         const std::vector<PlacementNode>& nodes, const EngineProfile& engine, TimePoint now);
     void forgetFinished(const RunnerDirectory& directory, TimePoint now);
+    std::vector<PlacementNode> nodes(const RunnerDirectory& directory, const LoadLedger& ledger, TimePoint now) const;
+    /// Notes which runners have come or gone since the last call.
+    void noteArrivals(const RunnerDirectory& directory, bool nothingHeld, TimePoint now);
 
     DataCentreId m_dataCentre;
     TargetId m_service;
     std::map<EndpointId, Pending> m_pending;
     /// Runners that refused an order, until they are asked again.
     std::map<EndpointId, TimePoint> m_pausedUntil;
-    std::set<EndpointId> m_known;
+    /// When each runner was first seen; the epoch for those that were there before the model was placed.
+    std::map<EndpointId, TimePoint> m_arrivals;
     TimePoint m_changedAt {};
     /// Since when some layer is held by no runner and no order will change that.
     std::optional<TimePoint> m_gapSince;
--- a/packages/core/fuchsialb/src/Fleet/PlacementPlanner.cpp
+++ b/packages/core/fuchsialb/src/Fleet/PlacementPlanner.cpp
@@ -108,37 +108,58 @@
         return list;
     }
 
-    std::uint32_t spareLayers(const Candidate& candidate, const EngineProfile& engine, double tokens)
+    /// KV cache that an extended range must leave at its runner.
+    struct Reserve {
+        /// In tokens, over all layers that the runner then holds.
+        double tokens = 0;
+        /// Whether what is promised to requests there must fit as well; without that they are preempted.
+        bool keepsPromises = true;
+    };
+
+    std::uint32_t spareLayers(const Candidate& candidate, const EngineProfile& engine, const Reserve& reserve)
     {
-        const std::uint32_t fits = engine.layersWithRoom(*candidate.accelerator, tokens);
         const std::uint32_t held = candidate.node->layers.count();
+        std::uint32_t fits = engine.layersWithRoom(*candidate.accelerator, reserve.tokens);
+        while (reserve.keepsPromises && fits > held
+            && engine.cacheRoom(*candidate.accelerator, fits) < candidate.node->promised)
+            --fits;
         return fits > held ? fits - held : 0;
     }
 
     /// The idle holder on one side of a gap that can take the most further layers.
-    const Candidate* neighbour(const std::vector<Candidate>& list, const EngineProfile& engine, double tokens,
+    const Candidate* neighbour(const std::vector<Candidate>& list, const EngineProfile& engine, const Reserve& reserve,
         const std::function<bool(const LayerRange&)>& adjoins)
     {
         const Candidate* best = nullptr;
         for (const Candidate& candidate : list) {
             if (!candidate.node->idle || candidate.node->layers.count() == 0 || !adjoins(candidate.node->layers))
                 continue;
-            if (!best || spareLayers(candidate, engine, tokens) > spareLayers(*best, engine, tokens))
+            if (!best || spareLayers(candidate, engine, reserve) > spareLayers(*best, engine, reserve))
                 best = &candidate;
         }
         return best;
     }
 
+    std::vector<Reserve> reserves()
+    {
+        std::vector<Reserve> list;
+        for (const bool keepsPromises : { true, false }) {
+            for (const double tokens : repairTokens)
+                list.push_back({ tokens, keepsPromises });
+        }
+        return list;
+    }
+
     std::vector<PlacementStep> extendNeighbours(
         const std::vector<Candidate>& list, const EngineProfile& engine, const LayerRange& gap)
     {
-        for (const double tokens : repairTokens) {
+        for (const Reserve& reserve : reserves()) {
             const Candidate* left
-                = neighbour(list, engine, tokens, [&](const LayerRange& held) { return held.end == gap.first; });
+                = neighbour(list, engine, reserve, [&](const LayerRange& held) { return held.end == gap.first; });
             const Candidate* right
-                = neighbour(list, engine, tokens, [&](const LayerRange& held) { return held.first == gap.end; });
-            const std::uint32_t leftSpare = left ? spareLayers(*left, engine, tokens) : 0;
-            const std::uint32_t rightSpare = right ? spareLayers(*right, engine, tokens) : 0;
+                = neighbour(list, engine, reserve, [&](const LayerRange& held) { return held.first == gap.end; });
+            const std::uint32_t leftSpare = left ? spareLayers(*left, engine, reserve) : 0;
+            const std::uint32_t rightSpare = right ? spareLayers(*right, engine, reserve) : 0;
             if (leftSpare + rightSpare < std::max(1U, gap.count()))
                 continue;
             // Each side takes a share in proportion to what it can hold.
@@ -155,11 +176,13 @@
     }
 
     /// An idle runner without layers, the one with the most memory.
-    std::optional<std::size_t> largestEmpty(const std::vector<Candidate>& list, const std::vector<bool>& taken)
+    std::optional<std::size_t> largestEmpty(
+        const std::vector<Candidate>& list, const std::vector<bool>& taken, bool sparesToo)
     {
         std::optional<std::size_t> best;
         for (std::size_t i = 0; i < list.size(); ++i) {
-            if (taken[i] || !list[i].node->idle || list[i].node->layers.count() > 0)
+            if (taken[i] || !list[i].node->idle || list[i].node->layers.count() > 0
+                || (list[i].node->spare && !sparesToo))
                 continue;
             if (!best || list[i].accelerator->memoryMegabytes > list[*best].accelerator->memoryMegabytes)
                 best = i;
@@ -167,6 +190,39 @@
         return best;
     }
 
+    /// An idle runner that can hold some layers of a gap and whose own layers others hold as well: the one with the
+    /// least KV cache promised, whose requests are the fewest to wait for.
+    std::optional<std::size_t> mostDispensable(const std::vector<Candidate>& list, const EngineProfile& engine,
+        const std::vector<std::uint32_t>& holders, const std::vector<bool>& taken)
+    {
+        std::optional<std::size_t> best;
+        for (std::size_t i = 0; i < list.size(); ++i) {
+            const LayerRange held = list[i].node->layers;
+            if (taken[i] || !list[i].node->idle || held.count() == 0
+                || engine.layersWithRoom(*list[i].accelerator, replicaTokens) == 0)
+                continue;
+            const auto from = holders.begin() + held.first;
+            const auto to = holders.begin() + std::min<std::uint32_t>(held.end, engine.layers);
+            if (std::any_of(from, to, [](std::uint32_t count) { return count < 2; }))
+                continue;
+            if (!best || list[i].node->promised < list[*best].node->promised)
+                best = i;
+        }
+        return best;
+    }
+
+    /// Number of runners that hold each layer.
+    std::vector<std::uint32_t> holdersByLayer(const std::vector<Candidate>& list, const EngineProfile& engine)
+    {
+        std::vector<std::uint32_t> holders(engine.layers, 0);
+        for (const Candidate& candidate : list) {
+            const LayerRange held = candidate.node->layers;
+            for (std::uint32_t layer = held.first; layer < std::min(held.end, engine.layers); ++layer)
+                ++holders[layer];
+        }
+        return holders;
+    }
+
     /// The window of `count` layers with the least KV cache.
     LayerRange weakestWindow(const std::vector<double>& room, std::uint32_t count)
     {
@@ -221,6 +277,7 @@
     if (nothingHeld)
         return initialPlan(list, engine);
     std::vector<double> room = roomByLayer(list, engine);
+    std::vector<std::uint32_t> holders = holdersByLayer(list, engine);
     std::vector<bool> taken(list.size(), false);
     std::vector<PlacementStep> steps;
     const auto take = [&](std::size_t index, const LayerRange& range) {
@@ -233,14 +290,19 @@
     for (const LayerRange& gap : gaps(room)) {
         LayerRange rest = gap;
         while (rest.count() > 0) {
-            const auto empty = largestEmpty(list, taken);
-            if (!empty)
+            const auto empty = largestEmpty(list, taken, true);
+            const auto chosen = empty ? empty : mostDispensable(list, engine, holders, taken);
+            if (!chosen)
                 break;
-            const std::uint32_t fits = engine.layersWithRoom(*list[*empty].accelerator, repairTokens.back());
+            const std::uint32_t fits
+                = engine.layersWithRoom(*list[*chosen].accelerator, empty ? repairTokens.back() : replicaTokens);
             if (fits == 0)
                 break;
+            const LayerRange given = list[*chosen].node->layers;
+            for (std::uint32_t layer = given.first; layer < std::min(given.end, engine.layers); ++layer)
+                --holders[layer];
             const LayerRange part { rest.first, rest.first + std::min(fits, rest.count()) };
-            take(*empty, part);
+            take(*chosen, part);
             rest.first = part.end;
         }
         if (rest.count() > 0) {
@@ -248,7 +310,7 @@
             steps.insert(steps.end(), extended.begin(), extended.end());
         }
     }
-    while (const auto empty = largestEmpty(list, taken)) {
+    while (const auto empty = largestEmpty(list, taken, false)) {
         const std::uint32_t count = engine.layersWithRoom(*list[*empty].accelerator, replicaTokens);
         if (count == 0) {
             taken[*empty] = true;
--- a/packages/core/fuchsialb/src/Fleet/PlacementPlanner.h
+++ b/packages/core/fuchsialb/src/Fleet/PlacementPlanner.h
@@ -14,6 +14,10 @@
     LayerRange layers;
     /// It has no order in progress.
     bool idle = true;
+    /// It is kept for gaps: a runner that arrives empty often replaces one that is about to leave.
+    bool spare = false;
+    /// KV cache promised to requests, in tokens times layers.
+    double promised = 0;
 };
 
 /// \brief Layers that a runner should hold from now on.
@@ -29,8 +33,9 @@
 /// A data centre holds one whole copy of the model where its memory allows, so that requests need not cross to another
 /// one and a data centre that is cut off serves on. The rest of the memory is KV cache, the scarce resource under load:
 /// - an empty fleet gets contiguous ranges that maximise the smallest KV cache, in tokens, over all runners;
-/// - layers that nobody holds any more go to an empty runner, or else extend the ranges on both sides of the gap;
-/// - an empty runner that no gap needs doubles the layers with the least KV cache.
+/// - layers that nobody holds any more go to an empty runner, or else to one whose layers others hold as well, or else
+///   extend the ranges on both sides of the gap, as far as possible without the KV cache promised there;
+/// - an empty runner that no gap needs and that is not a spare doubles the layers with the least KV cache.
 ///
 /// A step never names more layers than fit beside those that the runner still holds.
 class PlacementPlanner {
--- a/packages/core/fuchsialb/src/Fleet/RunnerDirectory.cpp
+++ b/packages/core/fuchsialb/src/Fleet/RunnerDirectory.cpp
@@ -55,13 +55,17 @@
     runner.suspendedUntil
         = now + std::min(longestSuspension, suspension * (1U << std::min(runner.failures, mostDoublings)));
     ++runner.failures;
+    runner.believedDead = false;
 }
 
 void RunnerDirectory::foundDead(const EndpointId& id, TimePoint now, Duration suspension)
 {
     failed(id, now, suspension);
-    if (const auto found = m_runners.find(id); found != m_runners.end())
-        found->second.foundDeadHere = true;
+    const auto found = m_runners.find(id);
+    if (found == m_runners.end())
+        return;
+    found->second.believedDead = true;
+    found->second.foundDeadHere = true;
 }
 
 void RunnerDirectory::foundDeadElsewhere(const EndpointId& id, TimePoint now, Duration left)
@@ -71,6 +75,7 @@
         return;
     if (now + left > found->second.suspendedUntil) {
         found->second.suspendedUntil = now + std::min(left, longestSuspension);
+        found->second.believedDead = true;
         found->second.foundDeadHere = false;
     }
 }
@@ -81,6 +86,7 @@
     if (found == m_runners.end())
         return;
     found->second.failures = 0;
+    found->second.believedDead = false;
     found->second.foundDeadHere = false;
     found->second.succeededAt = now;
 }
--- a/packages/core/fuchsialb/src/Fleet/RunnerDirectory.h
+++ b/packages/core/fuchsialb/src/Fleet/RunnerDirectory.h
@@ -40,11 +40,14 @@
         std::uint64_t ordersBegun = 0;
         TimePoint suspendedUntil {};
         std::uint32_t failures = 0;
+        /// Suspended because it is dead or cut off, not because of a failed request.
+        bool believedDead = false;
         /// This host found it dead or cut off, which other hosts are told.
         bool foundDeadHere = false;
         TimePoint succeededAt {};
 
         bool usable(TimePoint now) const { return !entry.draining && now >= suspendedUntil; }
+        bool dead(TimePoint now) const { return believedDead && now < suspendedUntil; }
     };
 
     using Runners = std::map<EndpointId, Runner>;
--- a/packages/core/tests/FleetPlacementTest.cpp
+++ b/packages/core/tests/FleetPlacementTest.cpp
@@ -63,7 +63,7 @@
         SECTION("the layers of a runner that is lost go to an empty one where there is one")
         {
             nodes.erase(nodes.begin() + 5);
-            nodes.push_back({ EndpointId("new"), AcceleratorKindId("middle"), {}, true });
+            nodes.push_back({ EndpointId("new"), AcceleratorKindId("middle"), {} });
             const auto repair = PlacementPlanner::plan(nodes, engine);
             REQUIRE(repair.size() == 1);
             CHECK(repair.front().runner == EndpointId("new"));
@@ -83,11 +83,52 @@
 
         SECTION("an empty runner without a gap doubles some layers")
         {
-            nodes.push_back({ EndpointId("new"), AcceleratorKindId("small"), {}, true });
+            nodes.push_back({ EndpointId("new"), AcceleratorKindId("small"), {} });
             const auto more = PlacementPlanner::plan(nodes, engine);
             REQUIRE(more.size() == 1);
             CHECK(more.front().layers.count() > 0);
             CHECK(fits(nodes, more, engine));
+
+            SECTION("and takes those of a runner that leaves, before the ranges beside the gap grow")
+            {
+                apply(nodes, more);
+                // A runner of a range that is not doubled.
+                const auto leaving = std::find_if(nodes.begin(), nodes.end() - 1,
+                    [&](const PlacementNode& node) { return node.layers.first >= more.front().layers.end; });
+                REQUIRE(leaving != nodes.end() - 1);
+                nodes.erase(leaving);
+                const auto repair = PlacementPlanner::plan(nodes, engine);
+                REQUIRE_FALSE(repair.empty());
+                CHECK(repair.front().runner == EndpointId("new"));
+                apply(nodes, repair);
+                CHECK_FALSE(PlacementPlanner::hasGap(nodes, engine));
+            }
+        }
+
+        SECTION("a spare stays empty until a runner leaves, then takes its layers")
+        {
+            PlacementNode spare { EndpointId("new"), AcceleratorKindId("middle"), {} };
+            spare.spare = true;
+            nodes.push_back(spare);
+            CHECK(PlacementPlanner::plan(nodes, engine).empty());
+            nodes.erase(nodes.begin() + 3);
+            const auto repair = PlacementPlanner::plan(nodes, engine);
+            REQUIRE(repair.size() == 1);
+            CHECK(repair.front().runner == EndpointId("new"));
+        }
+
+        SECTION("the gap goes to the neighbour with room beside what it promised to requests")
+        {
+            // r6 lies between r5 and r7, and r7 has room for its layers.
+            nodes[7].accelerator = AcceleratorKindId("middle");
+            nodes[5].accelerator = AcceleratorKindId("middle");
+            nodes.erase(nodes.begin() + 6);
+            const auto full = std::find_if(nodes.begin(), nodes.end(),
+                [](const PlacementNode& candidate) { return candidate.runner == EndpointId("r5"); });
+            full->promised = engine.cacheRoom(*engine.accelerator(full->accelerator), full->layers.count());
+            const auto repair = PlacementPlanner::plan(nodes, engine);
+            REQUIRE(repair.size() == 1);
+            CHECK(repair.front().runner == EndpointId("r7"));
         }
     }
 
@@ -111,11 +152,12 @@
 {
     const EngineProfile engine = fleetEngine();
     RunnerDirectory directory;
+    const LoadLedger ledger;
     for (const RunnerEntry& entry : fleetEntries())
         directory.put(entry);
     PlacementDriver driver(DataCentreId("east"), fleetService());
     TimePoint now { 10s };
-    const auto due = [&] { return driver.due(directory, engine, now, 1s); };
+    const auto due = [&] { return driver.due(directory, ledger, engine, now, 1s); };
 
     SECTION("an empty fleet is placed once its runners have stopped to arrive")
     {
@@ -131,7 +173,8 @@
         const auto orders = due();
         CHECK(orders.size() >= 5);
         // A runner that rounding left empty gets its order, for layers that others hold too, a turn later.
-        for (const PlaceOrder& order : due())
+        const auto doubling = due();
+        for (const PlaceOrder& order : doubling)
             driver.answered(order.runner, OrderOutcome::Begun, now);
 
         SECTION("and no order is given twice while it is carried out")
@@ -192,6 +235,60 @@
             CHECK(again.front().runner == restarted.id);
             CHECK(again.front().expectedOrders == 0);
         }
+
+        SECTION("and once all runners hold layers")
+        {
+            for (const auto& list : { orders, doubling }) {
+                for (const PlaceOrder& order : list) {
+                    driver.answered(order.runner, OrderOutcome::Begun, now);
+                    RunnerEntry placed = directory.find(order.runner)->entry;
+                    placed.layers = order.layers;
+                    directory.put(placed);
+                }
+            }
+            now += 2s;
+            CHECK(due().empty());
+            // Its layers are held once.
+            const RunnerEntry old = directory.find(orders[1].runner)->entry;
+            RunnerEntry replacement = old;
+            replacement.id = EndpointId("replacement");
+            replacement.address = "10.0.0.99:80";
+            replacement.layers = {};
+
+            SECTION("a runner that arrives takes the layers of the one that leaves after it")
+            {
+                directory.put(replacement);
+                CHECK(due().empty());
+                now += 900ms;
+                CHECK(due().empty());
+                RunnerEntry leaving = old;
+                leaving.draining = true;
+                directory.put(leaving);
+                const auto repair = due();
+                REQUIRE(repair.size() == 1);
+                CHECK(repair.front().runner == replacement.id);
+                CHECK(repair.front().layers == old.layers);
+            }
+
+            SECTION("a runner that arrives while none leaves doubles layers some seconds later")
+            {
+                directory.put(replacement);
+                CHECK(due().empty());
+                now += 3s;
+                const auto doubled = due();
+                REQUIRE(doubled.size() == 1);
+                CHECK(doubled.front().runner == replacement.id);
+            }
+
+            SECTION("a runner that refused a request for lack of room keeps its layers to itself")
+            {
+                directory.failed(old.id, now, 300ms);
+                CHECK(due().empty());
+                directory.foundDead(old.id, now + 300ms, 3s);
+                now += 400ms;
+                CHECK_FALSE(due().empty());
+            }
+        }
     }
 }
 
@@ -200,6 +297,7 @@
 {
     const EngineProfile engine = fleetEngine();
     RunnerDirectory directory;
+    const LoadLedger ledger;
     for (RunnerEntry entry : fleetEntries()) {
         directory.put(entry);
         entry.id = EndpointId("other-" + entry.id.value());
@@ -209,12 +307,12 @@
     PlacementDriver first(DataCentreId("east"), fleetService());
     PlacementDriver second(DataCentreId("east"), TargetId("other"));
     TimePoint now { 10s };
-    CHECK(first.due(directory, engine, now, 1s).empty());
-    CHECK(second.due(directory, engine, now, 1s).empty());
+    CHECK(first.due(directory, ledger, engine, now, 1s).empty());
+    CHECK(second.due(directory, ledger, engine, now, 1s).empty());
     now += 1s;
-    for (const PlaceOrder& order : first.due(directory, engine, now, 1s))
+    for (const PlaceOrder& order : first.due(directory, ledger, engine, now, 1s))
         CHECK_FALSE(order.runner.value().starts_with("other-"));
-    const auto orders = second.due(directory, engine, now, 1s);
+    const auto orders = second.due(directory, ledger, engine, now, 1s);
     CHECK(orders.size() >= 5);
     for (const PlaceOrder& order : orders)
         CHECK(order.runner.value().starts_with("other-"));
--- a/packages/core/tests/support/FleetSamples.cpp
+++ b/packages/core/tests/support/FleetSamples.cpp
@@ -24,11 +24,11 @@
 
 std::vector<PlacementNode> fleetNodes()
 {
-    std::vector<PlacementNode> nodes { { EndpointId("r0"), AcceleratorKindId("large"), {}, true } };
+    std::vector<PlacementNode> nodes { { EndpointId("r0"), AcceleratorKindId("large"), {} } };
     for (int i = 1; i <= 4; ++i)
-        nodes.push_back({ EndpointId(fmt::format("r{}", i)), AcceleratorKindId("middle"), {}, true });
+        nodes.push_back({ EndpointId(fmt::format("r{}", i)), AcceleratorKindId("middle"), {} });
     for (int i = 5; i <= 8; ++i)
-        nodes.push_back({ EndpointId(fmt::format("r{}", i)), AcceleratorKindId("small"), {}, true });
+        nodes.push_back({ EndpointId(fmt::format("r{}", i)), AcceleratorKindId("small"), {} });
     return nodes;
 }
 
--- a/packages/gateway/fuchsialb/src/Gateway/PlacementDuty.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/PlacementDuty.cpp
@@ -46,7 +46,7 @@
         line.add("data_centre", duty.first.value()).add("model", duty.second.value());
         m_context.log.log(line);
     }
-    for (const PlaceOrder& order : found->second.due(m_context.runners, engine, now, settleTime))
+    for (const PlaceOrder& order : found->second.due(m_context.runners, m_context.ledger, engine, now, settleTime))
         give(duty, order);
     for (const EndpointId& runner : found->second.overdue(now))
         ask(runner);
