Bound the requests that cross between data centres

Cause: while every data centre lacks some layers, all paths cross between them. The hidden states of one prompt of 800 tokens take 15 ms of the one link between them, so 34 to 68 crossings a second fill it; streams that were already running then paused for over two seconds and their callers left. Ruled out: the cost of a crossing in the path search, which already is above any detour, but cannot say no. Change: a budget of link time for each host, 0.6 of the link over all hosts; requests beyond it wait for room or are refused. Tests: FleetPathTest, a burst and a steady flood of crossing requests at each of four hosts.

--- a/packages/core/fuchsialb/Fleet.h
+++ b/packages/core/fuchsialb/Fleet.h
@@ -10,6 +10,7 @@
 #include "src/Fleet/EngineProfile.h"
 #include "src/Fleet/HostBeat.h"
 #include "src/Fleet/HostBoard.h"
+#include "src/Fleet/LinkBudget.h"
 #include "src/Fleet/LoadLedger.h"
 #include "src/Fleet/PathFinder.h"
 #include "src/Fleet/PlacementDriver.h"
--- a/packages/core/fuchsialb/src/Fleet/EngineProfile.cpp
+++ b/packages/core/fuchsialb/src/Fleet/EngineProfile.cpp
@@ -57,4 +57,14 @@
     return whole * accelerator.stepFactor * count / layers;
 }
 
+Duration EngineProfile::crossingTime(double tokens) const
+{
+    if (linkMegabits <= 0)
+        return Duration(0);
+    constexpr double bitsPerByte = 8;
+    const std::chrono::duration<double> time(
+        tokens * hiddenStateBytes * bitsPerByte / (linkMegabits * bytesPerMegabyte));
+    return std::chrono::duration_cast<Duration>(time);
+}
+
 } // namespace fuchsialb
--- a/packages/core/fuchsialb/src/Fleet/EngineProfile.h
+++ b/packages/core/fuchsialb/src/Fleet/EngineProfile.h
@@ -29,6 +29,10 @@
     double stepMillisecondsPerThousandTokens = 0;
     /// Time to load the whole model into an idle fleet.
     Duration loadTime { 0 };
+    /// Hidden state of one token, passed from each stage of a path to the next one, in bytes.
+    double hiddenStateBytes = 0;
+    /// Link between data centres that the hidden states of all requests share, in megabits/s; 0 when it is not known.
+    double linkMegabits = 0;
     std::int64_t usualPromptTokens = 0;
     std::int64_t usualOutputTokens = 0;
     std::vector<AcceleratorProfile> accelerators;
@@ -43,6 +47,8 @@
     double cacheRoom(const AcceleratorProfile& accelerator, std::uint32_t held) const;
     /// \return Milliseconds of one token step over `count` layers with `sequences` in the batch.
     double stepTime(const AcceleratorProfile& accelerator, std::uint32_t count, double sequences) const;
+    /// \return Time on the idle link between data centres of the hidden states of `tokens` tokens.
+    Duration crossingTime(double tokens) const;
 
 private:
     double cacheMegabytesPerTokenLayer() const;
--- a/packages/core/fuchsialb/src/Fleet/LoadLedger.cpp
+++ b/packages/core/fuchsialb/src/Fleet/LoadLedger.cpp
@@ -14,6 +14,14 @@
 
 } // namespace
 
+std::size_t crossings(const Path& path)
+{
+    std::size_t count = 0;
+    for (std::size_t i = 1; i < path.size(); ++i)
+        count += path[i].dataCentre == path[i - 1].dataCentre ? 0 : 1;
+    return count;
+}
+
 RunnerLoad& RunnerLoad::operator+=(const RunnerLoad& other)
 {
     cache += other.cache;
--- a/packages/core/fuchsialb/src/Fleet/LoadLedger.h
+++ b/packages/core/fuchsialb/src/Fleet/LoadLedger.h
@@ -16,6 +16,7 @@
     /// "IP:port".
     std::string address;
     LayerRange layers;
+    DataCentreId dataCentre {};
 
     bool operator==(const PathStage&) const = default;
 };
@@ -23,6 +24,9 @@
 /// \brief Stages that cover all layers of a model in order; a request is sent to the first one.
 using Path = std::vector<PathStage>;
 
+/// \return Number of times that hidden states pass from one data centre to another.
+std::size_t crossings(const Path& path);
+
 /// \brief KV cache and sequences at one runner.
 struct RunnerLoad {
     /// Tokens times layers that requests are expected to need when they end.
--- a/packages/core/tests/FleetPathTest.cpp
+++ b/packages/core/tests/FleetPathTest.cpp
@@ -78,6 +78,9 @@
         SECTION("and when both data centres lack different layers, hidden states cross")
         {
             directory.foundDead(EndpointId("west-0"), now, 3s);
+            request.mayCross = false;
+            CHECK_FALSE(finder.find(request, engine, now));
+            request.mayCross = true;
             const auto crossing = finder.find(request, engine, now);
             REQUIRE(crossing);
             CHECK(coversAllOnce(*crossing, engine.layers));
@@ -113,6 +116,49 @@
         CHECK_FALSE(finder.covered(request, engine, now));
     }
 
+    SECTION("runners that take no more requests of their own still serve in the middle of a path")
+    {
+        RunnerEntry second = placedEntries(4)[1];
+        const Path held { { second.id, second.address, { 10, 20 }, second.dataCentre } };
+        for (std::uint32_t i = 0; i < engine.slots; ++i)
+            ledger.commit(held, 0);
+        const auto path = finder.find(request, engine, now);
+        REQUIRE(path);
+        CHECK((*path)[1].runner == second.id);
+    }
+
+    SECTION("a stage that leaves is replaced by another holder, and all others stay")
+    {
+        const auto path = finder.find(request, engine, now);
+        REQUIRE(path);
+        RunnerEntry copy = placedEntries(4)[2];
+        copy.id = EndpointId("east-copy");
+        copy.address = "10.1.0.99:80";
+        RunnerEntry leaving = placedEntries(4)[2];
+        leaving.draining = true;
+        directory.put(leaving);
+        CHECK_FALSE(finder.detour(*path, leaving.id, request, engine, now));
+        directory.put(copy);
+        const auto changed = finder.detour(*path, leaving.id, request, engine, now);
+        REQUIRE(changed);
+        CHECK(coversAllOnce(*changed, engine.layers));
+        CHECK(within(*changed, directory));
+        REQUIRE(changed->size() == path->size());
+        for (std::size_t i = 0; i < path->size(); ++i)
+            CHECK((*changed)[i].runner == (i == 2 ? copy.id : (*path)[i].runner));
+
+        SECTION("but not the first one, which holds the request")
+        {
+            CHECK_FALSE(finder.detour(*path, path->front().runner, request, engine, now));
+        }
+
+        SECTION("and not by one without room")
+        {
+            ledger.commit({ { copy.id, copy.address, copy.layers, copy.dataCentre } }, 1e9);
+            CHECK_FALSE(finder.detour(*path, leaving.id, request, engine, now));
+        }
+    }
+
     SECTION("runners that leave are passed over")
     {
         for (RunnerEntry entry : placedEntries(4)) {
@@ -150,3 +196,45 @@
         }
     });
 }
+
+// Guards against streams that pause because the prompts of too many others cross between data centres at once.
+TEST_CASE("Requests that cross between data centres leave the link between them free")
+{
+    EngineProfile engine = fleetEngine();
+    engine.hiddenStateBytes = 30'000;
+    engine.linkMegabits = 12'000;
+    const Duration each = engine.crossingTime(800);
+    CHECK(each == 16ms);
+    TimePoint now { 10s };
+    constexpr std::size_t hosts = 4;
+    LinkBudget budget;
+
+    SECTION("in a burst at every host")
+    {
+        Duration taken { 0 };
+        for (int i = 0; i < 1000; ++i) {
+            if (!budget.allows(now, hosts))
+                continue;
+            budget.take(each);
+            taken += each;
+        }
+        CHECK(taken * hosts <= 800ms);
+        CHECK(taken > Duration(0));
+    }
+
+    SECTION("over time")
+    {
+        Duration taken { 0 };
+        for (int i = 0; i < 100'000; ++i) {
+            now += 100us;
+            if (!budget.allows(now, hosts))
+                continue;
+            budget.take(each);
+            taken += each;
+        }
+        CHECK(taken * hosts < 8s);
+        CHECK(taken * hosts > 5s);
+    }
+}
+
+TEST_CASE("A link of unknown speed is not budgeted") { CHECK(fleetEngine().crossingTime(1e6) == Duration(0)); }
--- a/packages/gateway/fuchsialb/src/Gateway/Gateway.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/Gateway.cpp
@@ -67,7 +67,7 @@
             m_context.emplace(GatewayContext { m_settings, m_translator, *m_loop, m_clock, *m_http, *m_store, m_log,
                 m_metrics, Random(seed), ConfigurationInForce(m_settings.keyTrust), {}, {},
                 HostBoard(m_settings.host, m_settings.dataCentre), {},
-                RepeatBudget({ m_settings.repeatRatio, m_settings.repeatWindow, m_settings.repeatAllowance }), {} });
+                RepeatBudget({ m_settings.repeatRatio, m_settings.repeatWindow, m_settings.repeatAllowance }), {}, {} });
             m_desk.emplace(*m_context);
             m_peers.emplace(*m_context);
             m_session.emplace(*m_context, [this](const std::string& key) { m_peers->useKey(key); });
--- a/packages/gateway/fuchsialb/src/Gateway/GatewayContext.h
+++ b/packages/gateway/fuchsialb/src/Gateway/GatewayContext.h
@@ -27,6 +27,7 @@
     HostBoard hosts;
     LoadLedger ledger;
     RepeatBudget repeats;
+    LinkBudget link;
     AdmissionQueue waiting;
     /// The process was told to end.
     bool stopping = false;
--- a/packages/gateway/fuchsialb/src/Gateway/StreamCall.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/StreamCall.cpp
@@ -88,7 +88,7 @@
     m_context.waiting.push(key(), { urgency, m_begun || m_matched.returning, m_context.now() + patience });
 }
 
-std::optional<Path> StreamCall::findPath(TimePoint now) const
+std::optional<Path> StreamCall::findPath(TimePoint now)
 {
     if (!m_matched.service->engine) {
         const RunnerDirectory::Runner* best = nullptr;
@@ -105,7 +105,12 @@
     PathRequest wanted { m_matched.service->name, m_context.settings.dataCentre, expectedTokens(), limit, m_avoided };
     if (!mayRunElsewhere())
         wanted.firstAmong = m_ranAt;
-    return finder.find(wanted, *m_matched.service->engine, now);
+    const EngineProfile& engine = *m_matched.service->engine;
+    wanted.mayCross = engine.linkMegabits <= 0 || m_context.link.allows(now, m_context.hosts.size());
+    auto path = finder.find(wanted, engine, now);
+    if (path)
+        m_context.link.take(engine.crossingTime(expectedTokens()) * static_cast<int>(crossings(*path)));
+    return path;
 }
 
 bool StreamCall::admit()
--- a/packages/gateway/fuchsialb/src/Gateway/StreamCall.h
+++ b/packages/gateway/fuchsialb/src/Gateway/StreamCall.h
@@ -33,7 +33,7 @@
     /// \return Whether runners hold all layers and are large enough, so that waiting can help.
     bool canBePlaced(TimePoint now) const;
     void wait(Duration patience);
-    std::optional<Path> findPath(TimePoint now) const;
+    std::optional<Path> findPath(TimePoint now);
     void run(Path path);
     /// \return The data centres that a path passes through, in order.
     std::string dataCentresOf(const Path& path) const;
