Move running streams off a stage that leaves or dies by a change of path

A break of the path was blamed on the first runner even when the registry said that a later one was leaving. Change: when a stage other than the first dies, or has announced 1.1 s before that it leaves, the first runner is ordered to take the stream past it through other holders in the same data centre; the other stages keep its KV cache. Without a holder the stream goes on as before. A runner that fails all requests for five seconds loses its layers; one that refuses some does not. Calls to runners beside requests stand once, in RunnerOrders.

--- a/packages/core/fuchsialb/src/Fleet/PlacementDriver.cpp
+++ b/packages/core/fuchsialb/src/Fleet/PlacementDriver.cpp
@@ -47,9 +47,9 @@
         const RunnerEntry& entry = runner.entry;
         if (entry.service != m_service || entry.dataCentre != m_dataCentre || entry.draining)
             continue;
-        // Layers of a dead runner are placed elsewhere; it gets no orders meanwhile.
+        // Layers of a lost runner are placed elsewhere; it gets no orders meanwhile.
         const auto pending = m_pending.find(id);
-        if (runner.dead(now) && pending == m_pending.end())
+        if (runner.lost(now) && pending == m_pending.end())
             continue;
         PlacementNode node;
         node.runner = id;
--- a/packages/core/fuchsialb/src/Fleet/RunnerDirectory.cpp
+++ b/packages/core/fuchsialb/src/Fleet/RunnerDirectory.cpp
@@ -9,7 +9,6 @@
 
     // A runner that is gone leaves the registry within a few seconds, so longer suspensions add nothing.
     constexpr Duration longestSuspension = std::chrono::seconds(6);
-    constexpr std::uint32_t mostDoublings = 4;
     // A runner that answered this host within this time is not dead, whatever another host met.
     constexpr Duration trustedSuccess = std::chrono::milliseconds(300);
 
@@ -46,7 +45,7 @@
     return found == m_runners.end() ? nullptr : &found->second;
 }
 
-void RunnerDirectory::failed(const EndpointId& id, TimePoint now, Duration suspension)
+void RunnerDirectory::failed(const EndpointId& id, TimePoint now, Duration suspension, std::uint32_t mostDoublings)
 {
     const auto found = m_runners.find(id);
     if (found == m_runners.end() || now < found->second.suspendedUntil)
@@ -54,7 +53,8 @@
     Runner& runner = found->second;
     runner.suspendedUntil
         = now + std::min(longestSuspension, suspension * (1U << std::min(runner.failures, mostDoublings)));
-    ++runner.failures;
+    if (runner.failures++ == 0)
+        runner.failingSince = now;
     runner.believedDead = false;
 }
 
--- a/packages/core/fuchsialb/src/Fleet/RunnerDirectory.h
+++ b/packages/core/fuchsialb/src/Fleet/RunnerDirectory.h
@@ -39,7 +39,9 @@
         /// Orders that it is known to have begun since its start; an order with another expectation is refused.
         std::uint64_t ordersBegun = 0;
         TimePoint suspendedUntil {};
+        /// Since the last success.
         std::uint32_t failures = 0;
+        TimePoint failingSince {};
         /// Suspended because it is dead or cut off, not because of a failed request.
         bool believedDead = false;
         /// This host found it dead or cut off, which other hosts are told.
@@ -48,6 +50,12 @@
 
         bool usable(TimePoint now) const { return !entry.draining && now >= suspendedUntil; }
         bool dead(TimePoint now) const { return believedDead && now < suspendedUntil; }
+        /// \return Whether its layers are to be held elsewhere: it is dead, or has failed all requests for a while.
+        bool lost(TimePoint now) const
+        {
+            constexpr Duration longestFailing = std::chrono::seconds(5);
+            return dead(now) || (now < suspendedUntil && now - failingSince >= longestFailing);
+        }
     };
 
     using Runners = std::map<EndpointId, Runner>;
@@ -64,7 +72,8 @@
 
     /// A request met a failure that the runner is to blame for.
     /// \param suspension Time to pass the runner over after a first failure.
-    void failed(const EndpointId& id, TimePoint now, Duration suspension);
+    /// \param mostDoublings How often that time doubles at most, for a failure after the other.
+    void failed(const EndpointId& id, TimePoint now, Duration suspension, std::uint32_t mostDoublings = 4);
     /// The runner takes no connection, gives no answer about its state, or is waited for by others.
     void foundDead(const EndpointId& id, TimePoint now, Duration suspension);
     /// Another host found the runner dead; ignored while requests of this host are answered by it.
--- a/packages/core/tests/FleetPlacementTest.cpp
+++ b/packages/core/tests/FleetPlacementTest.cpp
@@ -284,8 +284,25 @@
             {
                 directory.failed(old.id, now, 300ms);
                 CHECK(due().empty());
-                directory.foundDead(old.id, now + 300ms, 3s);
-                now += 400ms;
+                now += 300ms;
+                directory.foundDead(old.id, now, 3s);
+                CHECK_FALSE(due().empty());
+            }
+
+            SECTION("a runner that fails all requests for seconds loses its layers, but not one that serves some")
+            {
+                const auto fail = [&] {
+                    for (int i = 0; i < 12; ++i) {
+                        directory.failed(old.id, now, 100ms, 2);
+                        CHECK(due().empty());
+                        now += 400ms;
+                    }
+                };
+                fail();
+                directory.succeeded(old.id, now);
+                fail();
+                now += 1s;
+                directory.failed(old.id, now, 100ms, 2);
                 CHECK_FALSE(due().empty());
             }
         }
--- a/packages/gateway/fuchsialb/src/Gateway/Call.h
+++ b/packages/gateway/fuchsialb/src/Gateway/Call.h
@@ -48,6 +48,8 @@
     virtual void waitedTooLong() { }
     /// A runner was found to be dead or cut off.
     virtual void runnerLost(const EndpointId&) { }
+    /// A runner has announced that it leaves, or is off the registry.
+    virtual void runnerLeaving(const EndpointId&) { }
 
     void setOnOver(OnOver onOver) { m_onOver = std::move(onOver); }
     void setKey(AdmissionQueue::Key key) { m_key = key; }
--- a/packages/gateway/fuchsialb/src/Gateway/Gateway.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/Gateway.cpp
@@ -67,10 +67,13 @@
             m_context.emplace(GatewayContext { m_settings, m_translator, *m_loop, m_clock, *m_http, *m_store, m_log,
                 m_metrics, Random(seed), ConfigurationInForce(m_settings.keyTrust), {}, {},
                 HostBoard(m_settings.host, m_settings.dataCentre), {},
-                RepeatBudget({ m_settings.repeatRatio, m_settings.repeatWindow, m_settings.repeatAllowance }), {}, {} });
+                RepeatBudget({ m_settings.repeatRatio, m_settings.repeatWindow, m_settings.repeatAllowance }), {},
+                {} });
             m_desk.emplace(*m_context);
             m_peers.emplace(*m_context);
-            m_session.emplace(*m_context, [this](const std::string& key) { m_peers->useKey(key); });
+            m_session.emplace(
+                *m_context, [this](const std::string& key) { m_peers->useKey(key); },
+                [this](const EndpointId& runner) { m_desk->runnerLeaving(runner); });
             m_placement.emplace(*m_context);
             absl::Status status = listenOn(m_callers, m_settings.callers, m_loop,
                 [this](ServerRequest request, const std::shared_ptr<HttpReply>& reply) {
--- a/packages/gateway/fuchsialb/src/Gateway/PlacementDuty.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/PlacementDuty.cpp
@@ -1,5 +1,7 @@
 #include "PlacementDuty.h"
 
+#include "RunnerOrders.h"
+
 #include <set>
 
 namespace fuchsialb {
@@ -11,7 +13,6 @@
     constexpr Duration settleTime = std::chrono::milliseconds(1500);
     // Other hosts register within this time of the start, and the duty passes to its holder.
     constexpr Duration registrationTime = std::chrono::milliseconds(2500);
-    constexpr Duration orderTimeout = std::chrono::milliseconds(1000);
 
 } // namespace
 
@@ -54,10 +55,7 @@
 
 void PlacementDuty::give(const Duty& duty, const PlaceOrder& order)
 {
-    HttpRequest request = m_context.translator.placeRequest(order);
-    request.timeout = orderTimeout;
-    request.freshConnection = true;
-    const auto conclude = [this, duty, order](OrderOutcome outcome) {
+    orderPlacement(m_context, order, [this, duty, order](OrderOutcome outcome) {
         LogLine line("placement-ordered");
         line.add("runner", order.runner.value()).add("first", order.layers.first).add("end", order.layers.end);
         line.add("expected_orders", static_cast<std::int64_t>(order.expectedOrders));
@@ -70,14 +68,7 @@
             driver->second.answered(order.runner, outcome, m_context.now());
         if (outcome == OrderOutcome::Refused || outcome == OrderOutcome::Unknown)
             ask(order.runner);
-    };
-    HttpHandlers handlers;
-    handlers.onResponse
-        = [this, conclude](const HttpResponse& response) { conclude(m_context.translator.placeOutcome(response)); };
-    handlers.onFailure = [conclude](const HttpFailure&) { conclude(OrderOutcome::Unknown); };
-    m_context.metrics.count("orders", "kind", "place");
-    if (!m_context.http.start(std::move(request), std::move(handlers)).ok())
-        conclude(OrderOutcome::Unknown);
+    });
 }
 
 void PlacementDuty::ask(const EndpointId& runner)
@@ -85,17 +76,14 @@
     const RunnerDirectory::Runner* known = m_context.runners.find(runner);
     if (!known)
         return;
-    HttpRequest request = m_context.translator.reportRequest(known->entry.address);
-    request.timeout = orderTimeout;
-    HttpHandlers handlers;
-    handlers.onResponse = [this, runner](const HttpResponse& response) {
-        const auto report = m_context.translator.report(response);
-        if (!report.ok())
-            m_context.log.log(LogLine("report-unreadable").add("runner", runner.value()));
-        else
+    askReport(m_context, known->entry.address, [this, runner](const absl::StatusOr<RunnerReport>& report) {
+        if (report.ok())
             m_context.runners.reported(runner, report->ordersBegun, report->layers, report->startedAt);
-    };
-    static_cast<void>(m_context.http.start(std::move(request), std::move(handlers)));
+        else
+            m_context.log.log(LogLine("report-missing")
+                                  .add("runner", runner.value())
+                                  .add("cause", std::string(report.status().message())));
+    });
 }
 
 } // namespace fuchsialb
--- a/packages/gateway/fuchsialb/src/Gateway/RequestDesk.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/RequestDesk.cpp
@@ -134,21 +134,29 @@
 
 void RequestDesk::runnerLost(const EndpointId& runner)
 {
-    std::vector<std::shared_ptr<Call>> calls;
-    for (const auto& [key, call] : m_open)
-        calls.push_back(call);
-    for (const auto& call : calls)
+    for (const auto& call : calls())
         call->runnerLost(runner);
 }
 
+void RequestDesk::runnerLeaving(const EndpointId& runner)
+{
+    for (const auto& call : calls())
+        call->runnerLeaving(runner);
+}
+
+std::vector<std::shared_ptr<Call>> RequestDesk::calls() const
+{
+    std::vector<std::shared_ptr<Call>> list;
+    list.reserve(m_open.size());
+    for (const auto& [key, call] : m_open)
+        list.push_back(call);
+    return list;
+}
+
 void RequestDesk::tick()
 {
     const TimePoint now = m_context.now();
-    std::vector<std::shared_ptr<Call>> calls;
-    calls.reserve(m_open.size());
-    for (const auto& [key, call] : m_open)
-        calls.push_back(call);
-    for (const auto& call : calls)
+    for (const auto& call : calls())
         call->tick(now);
     admitWaiting();
     for (const AdmissionQueue::Key key : m_context.waiting.takeExpired(now)) {
--- a/packages/gateway/fuchsialb/src/Gateway/RequestDesk.h
+++ b/packages/gateway/fuchsialb/src/Gateway/RequestDesk.h
@@ -14,6 +14,8 @@
     void handle(ServerRequest request, const std::shared_ptr<HttpReply>& reply);
     /// Looks after deadlines, stalls and waits; called every few milliseconds.
     void tick();
+    /// A runner has announced that it leaves, or is off the registry.
+    void runnerLeaving(const EndpointId& runner);
     std::size_t open() const { return m_open.size(); }
 
 private:
@@ -26,6 +28,8 @@
     void add(const std::shared_ptr<Call>& call);
     void over(Call& call);
     void runnerLost(const EndpointId& runner);
+    /// \return The open calls; these may end while they are gone through.
+    std::vector<std::shared_ptr<Call>> calls() const;
     void admitWaiting();
 
     GatewayContext& m_context;
--- /dev/null
+++ b/packages/gateway/fuchsialb/src/Gateway/RunnerOrders.cpp
@@ -0,0 +1,56 @@
+#include "RunnerOrders.h"
+
+namespace fuchsialb {
+
+namespace {
+
+    // A runner in order answers within milliseconds; one that is silent for longer is cut off or dead.
+    constexpr Duration reportTimeout = std::chrono::milliseconds(400);
+    constexpr Duration orderTimeout = std::chrono::milliseconds(1000);
+
+} // namespace
+
+void askReport(
+    GatewayContext& context, const std::string& address, std::function<void(absl::StatusOr<RunnerReport>)> onReport)
+{
+    HttpRequest request = context.translator.reportRequest(address);
+    request.timeout = reportTimeout;
+    HttpHandlers handlers;
+    handlers.onResponse
+        = [&context, onReport](const HttpResponse& response) { onReport(context.translator.report(response)); };
+    handlers.onFailure = [onReport](const HttpFailure& failure) { onReport(failure.status); };
+    if (const auto started = context.http.start(std::move(request), std::move(handlers)); !started.ok())
+        onReport(started.status());
+}
+
+void orderPlacement(
+    GatewayContext& context, const PlaceOrder& order, const std::function<void(OrderOutcome)>& onOutcome)
+{
+    HttpRequest request = context.translator.placeRequest(order);
+    request.timeout = orderTimeout;
+    request.freshConnection = true;
+    HttpHandlers handlers;
+    handlers.onResponse
+        = [&context, onOutcome](const HttpResponse& response) { onOutcome(context.translator.placeOutcome(response)); };
+    handlers.onFailure = [onOutcome](const HttpFailure&) { onOutcome(OrderOutcome::Unknown); };
+    context.metrics.count("orders", "kind", "place");
+    if (!context.http.start(std::move(request), std::move(handlers)).ok())
+        onOutcome(OrderOutcome::Unknown);
+}
+
+void orderPathChange(GatewayContext& context, const std::string& requestId, const Path& path,
+    const std::function<void(const PathChangeAnswer&)>& onAnswer)
+{
+    HttpRequest request = context.translator.pathChangeRequest(requestId, path);
+    request.timeout = orderTimeout;
+    HttpHandlers handlers;
+    handlers.onResponse = [&context, onAnswer](const HttpResponse& response) {
+        onAnswer(context.translator.pathChangeAnswer(response));
+    };
+    handlers.onFailure = [onAnswer](const HttpFailure&) { onAnswer({ OrderOutcome::Unknown, "" }); };
+    context.metrics.count("orders", "kind", "path");
+    if (!context.http.start(std::move(request), std::move(handlers)).ok())
+        onAnswer({ OrderOutcome::Unknown, "" });
+}
+
+} // namespace fuchsialb
--- a/packages/gateway/fuchsialb/src/Gateway/StoreSession.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/StoreSession.cpp
@@ -1,5 +1,7 @@
 #include "StoreSession.h"
 
+#include <set>
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -127,9 +129,10 @@
     });
 }
 
-StoreSession::StoreSession(GatewayContext& context, OnKey onKey)
+StoreSession::StoreSession(GatewayContext& context, OnKey onKey, OnRunnerLeaving onRunnerLeaving)
     : m_context(context)
     , m_onKey(std::move(onKey))
+    , m_onRunnerLeaving(std::move(onRunnerLeaving))
     , m_configuration(context,
           { "configuration", context.translator.configurationKey(), [this] { return configurationWait(); },
               std::chrono::milliseconds(50) },
@@ -224,19 +227,17 @@
 
 void StoreSession::takeRunners(const KeyListing& listing, bool whole)
 {
+    std::set<EndpointId> served;
+    for (const auto& [id, runner] : m_context.runners.runners()) {
+        if (!runner.entry.draining)
+            served.insert(id);
+    }
     std::vector<RunnerEntry> entries;
     for (const KeyItem& item : listing.items) {
         if (item.removed) {
             m_context.runners.remove(m_context.translator.runnerId(item.key));
         } else if (auto entry = m_context.translator.runnerEntry(item.key, item.value); entry.ok()) {
-            const RunnerDirectory::Runner* known = m_context.runners.find(entry->id);
-            if (!known || known->entry.layers != entry->layers || known->entry.draining != entry->draining) {
-                LogLine line("runner-changed");
-                line.add("runner", entry->id.value()).add("draining", entry->draining ? 1 : 0);
-                line.add("first", entry->layers.first).add("end", entry->layers.end);
-                line.add("as_of", static_cast<std::int64_t>(listing.asOf.value()));
-                m_context.log.log(line);
-            }
+            logChange(*entry, listing.asOf);
             if (whole)
                 entries.push_back(*std::move(entry));
             else
@@ -253,6 +254,29 @@
         m_context.runners.replaceAll(entries);
     m_context.registryVersion = std::max(m_context.registryVersion, listing.asOf);
     m_context.registryReadAt = m_context.now();
+    for (const EndpointId& id : served) {
+        const RunnerDirectory::Runner* runner = m_context.runners.find(id);
+        if (runner && !runner->entry.draining)
+            continue;
+        if (!runner) {
+            LogLine line("runner-gone");
+            line.add("runner", id.value()).add("as_of", static_cast<std::int64_t>(listing.asOf.value()));
+            m_context.log.log(line);
+        }
+        m_onRunnerLeaving(id);
+    }
+}
+
+void StoreSession::logChange(const RunnerEntry& entry, KeyVersion asOf)
+{
+    const RunnerDirectory::Runner* known = m_context.runners.find(entry.id);
+    if (known && known->entry.layers == entry.layers && known->entry.draining == entry.draining)
+        return;
+    LogLine line("runner-changed");
+    line.add("runner", entry.id.value()).add("draining", entry.draining ? 1 : 0);
+    line.add("first", entry.layers.first).add("end", entry.layers.end);
+    line.add("as_of", static_cast<std::int64_t>(asOf.value()));
+    m_context.log.log(line);
 }
 
 void StoreSession::takeHosts(const KeyListing& listing, bool whole)
--- a/packages/gateway/fuchsialb/src/Gateway/StoreSession.h
+++ b/packages/gateway/fuchsialb/src/Gateway/StoreSession.h
@@ -58,9 +58,11 @@
 class StoreSession {
 public:
     using OnKey = std::function<void(const std::string& key)>;
+    using OnRunnerLeaving = std::function<void(const EndpointId& runner)>;
 
     /// \param onKey Told the key that all hosts share.
-    StoreSession(GatewayContext& context, OnKey onKey);
+    /// \param onRunnerLeaving Told each runner that has announced that it leaves, or is off the registry.
+    StoreSession(GatewayContext& context, OnKey onKey, OnRunnerLeaving onRunnerLeaving);
     void start();
     /// Reads the configuration when the proof that it is the newest gets old; called several times a second.
     void tick();
@@ -70,6 +72,7 @@
 private:
     void takeConfiguration(const KeyListing& listing, Duration provenAt);
     void takeRunners(const KeyListing& listing, bool whole);
+    void logChange(const RunnerEntry& entry, KeyVersion asOf);
     void takeHosts(const KeyListing& listing, bool whole);
     void registerHost();
     void renewLater();
@@ -80,6 +83,7 @@
 
     GatewayContext& m_context;
     OnKey m_onKey;
+    OnRunnerLeaving m_onRunnerLeaving;
     PrefixFollower m_configuration;
     PrefixFollower m_runners;
     PrefixFollower m_hosts;
--- a/packages/gateway/fuchsialb/src/Gateway/StreamCall.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/StreamCall.cpp
@@ -1,5 +1,7 @@
 #include "StreamCall.h"
 
+#include "RunnerOrders.h"
+
 namespace fuchsialb {
 
 namespace {
@@ -9,6 +11,9 @@
     constexpr Duration deadSuspension = std::chrono::seconds(3);
     // A stream that broke off says little of its runner: answers get lost on the way.
     constexpr Duration brokenSuspension = std::chrono::milliseconds(100);
+    // A runner whose answers all break off may be the only one with its layers: it is passed over for less time than a
+    // stream waits to go on.
+    constexpr std::uint32_t brokenDoublings = 2;
     // A stage that refused, for example for a lack of memory, is likely to take requests again soon.
     constexpr Duration refusalSuspension = std::chrono::milliseconds(300);
     // Longest wait for another path in mid-stream; callers leave after a pause of two seconds.
@@ -17,9 +22,28 @@
     constexpr double resumeCacheLimit = 1.05;
     // An event that does not end within this size is not an event.
     constexpr std::size_t maxEventBytes = 1'048'576;
-    constexpr Duration reportTimeout = std::chrono::milliseconds(400);
+    // A runner that leaves works on for about two seconds. Most streams end in this part of it; the others are moved in
+    // the rest, when its layers have been loaded elsewhere.
+    constexpr Duration moveDelay = std::chrono::milliseconds(1100);
+    // Wait before another try to move a request off a stage that leaves: its layers are being loaded elsewhere.
+    constexpr Duration moveRetry = std::chrono::milliseconds(200);
     constexpr std::uint32_t misdirected = 421;
 
+    /// The data centres that a path passes through, in order.
+    std::string dataCentresOf(const Path& path)
+    {
+        std::string names;
+        std::string last;
+        for (const PathStage& stage : path) {
+            const std::string& name = stage.dataCentre.value();
+            if (name == last)
+                continue;
+            names += (names.empty() ? "" : ",") + name;
+            last = name;
+        }
+        return names;
+    }
+
 } // namespace
 
 StreamCall::StreamCall(GatewayContext& context, MatchedRequest matched, std::shared_ptr<HttpReply> reply,
@@ -75,9 +99,12 @@
     if (!m_matched.service->engine)
         return true;
     const PathFinder finder(m_context.runners, m_context.ledger);
-    const PathRequest wanted { m_matched.service->name, m_context.settings.dataCentre, expectedTokens(),
-        AdmissionPolicy::cacheLimit(m_matched.urgency), m_avoided };
-    return finder.covered(wanted, *m_matched.service->engine, now);
+    return finder.covered(wanted(AdmissionPolicy::cacheLimit(m_matched.urgency)), *m_matched.service->engine, now);
+}
+
+PathRequest StreamCall::wanted(double cacheLimit) const
+{
+    return { m_matched.service->name, m_context.settings.dataCentre, expectedTokens(), cacheLimit, m_avoided };
 }
 
 void StreamCall::wait(Duration patience)
@@ -98,16 +125,17 @@
             if (!best || m_context.ledger.at(id).first < m_context.ledger.at(best->entry.id).first)
                 best = &runner;
         }
-        return best ? std::optional(Path { { best->entry.id, best->entry.address, {} } }) : std::nullopt;
+        return best ? std::optional(Path { { best->entry.id, best->entry.address, {}, best->entry.dataCentre } })
+                    : std::nullopt;
     }
     const PathFinder finder(m_context.runners, m_context.ledger);
     const double limit = m_runs > 0 ? resumeCacheLimit : AdmissionPolicy::cacheLimit(m_matched.urgency);
-    PathRequest wanted { m_matched.service->name, m_context.settings.dataCentre, expectedTokens(), limit, m_avoided };
-    if (!mayRunElsewhere())
-        wanted.firstAmong = m_ranAt;
     const EngineProfile& engine = *m_matched.service->engine;
-    wanted.mayCross = engine.linkMegabits <= 0 || m_context.link.allows(now, m_context.hosts.size());
-    auto path = finder.find(wanted, engine, now);
+    PathRequest request = wanted(limit);
+    request.mayCross = engine.linkMegabits <= 0 || m_context.link.allows(now, m_context.hosts.size());
+    if (!mayRunElsewhere())
+        request.firstAmong = m_ranAt;
+    auto path = finder.find(request, engine, now);
     if (path)
         m_context.link.take(engine.crossingTime(expectedTokens()) * static_cast<int>(crossings(*path)));
     return path;
@@ -142,21 +170,6 @@
     answer(OwnAnswer::NotRun, cause, AdmissionPolicy::retryAfter(m_meanDuration, left, m_context.random.unit()));
 }
 
-std::string StreamCall::dataCentresOf(const Path& path) const
-{
-    std::string names;
-    std::string last;
-    for (const PathStage& stage : path) {
-        const RunnerDirectory::Runner* runner = m_context.runners.find(stage.runner);
-        const std::string name = runner ? runner->entry.dataCentre.value() : "?";
-        if (name == last)
-            continue;
-        names += (names.empty() ? "" : ",") + name;
-        last = name;
-    }
-    return names;
-}
-
 void StreamCall::run(Path path)
 {
     const TimePoint now = m_context.now();
@@ -300,17 +313,18 @@
 void StreamCall::takeFailure(const HttpFailure& failure)
 {
     const EndpointId first = m_path.front().runner;
+    const bool broken = pathBroken(m_context.now());
     leavePath();
     if (failure.notSent)
         blameDead(first, "unreachable");
-    else
+    else if (!broken)
         blame(first, reasonName(reasonOf(failure.status)), brokenSuspension);
     failOver(reasonName(reasonOf(failure.status)), !failure.notSent);
 }
 
 void StreamCall::blame(const EndpointId& runner, std::string_view cause, Duration suspension)
 {
-    m_context.runners.failed(runner, m_context.now(), suspension);
+    m_context.runners.failed(runner, m_context.now(), suspension, brokenDoublings);
     logBlame(runner, cause);
 }
 
@@ -335,6 +349,8 @@
 void StreamCall::leavePath()
 {
     m_exchange.reset();
+    m_leaving.clear();
+    m_moving = false;
     m_context.ledger.release(std::exchange(m_path, {}), expectedTokens());
 }
 
@@ -379,6 +395,8 @@
     }
     if (!m_exchange || !m_stalls)
         return;
+    if (!m_leaving.empty() && !m_moving && now >= m_nextMove)
+        moveAway(m_leaving.begin()->first, now);
     switch (m_stalls->check(now)) {
     case StallDetector::Verdict::Flowing:
         return;
@@ -399,27 +417,19 @@
 {
     const auto self = std::static_pointer_cast<StreamCall>(shared_from_this());
     const std::uint32_t run = m_runs;
-    HttpRequest request = m_context.translator.reportRequest(m_path.front().address);
-    request.timeout = reportTimeout;
-    HttpHandlers handlers;
-    handlers.onResponse = [self, run](const HttpResponse& response) {
+    askReport(m_context, m_path.front().address, [self, run](const absl::StatusOr<RunnerReport>& report) {
         if (self->isOver() || self->m_runs != run || !self->m_exchange)
             return;
-        const auto report = self->m_context.translator.report(response);
-        if (report.ok())
+        if (report.ok()) {
             self->takeReport(*report);
-        else
+        } else if (const Reason reason = reasonOf(report.status()); reason == Reason::EndpointFailed) {
             self->m_context.log.log(self->logLine("report-unreadable"));
-    };
-    handlers.onFailure = [self, run](const HttpFailure& failure) {
-        if (self->isOver() || self->m_runs != run || !self->m_exchange || reasonOf(failure.status) == Reason::Cancelled)
-            return;
-        // A copy: the path changes when the stream goes on elsewhere.
-        const EndpointId first = self->m_path.front().runner;
-        self->blameDead(first, "silent");
-    };
-    if (!m_context.http.start(std::move(request), std::move(handlers)).ok())
-        m_context.log.log(logLine("report-not-asked"));
+        } else if (reason != Reason::Cancelled) {
+            // A copy: the path changes when the stream goes on elsewhere.
+            const EndpointId first = self->m_path.front().runner;
+            self->blameDead(first, "silent");
+        }
+    });
 }
 
 void StreamCall::takeReport(const RunnerReport& report)
@@ -436,21 +446,95 @@
     }
 }
 
+bool StreamCall::onPath(const EndpointId& runner) const
+{
+    return std::any_of(m_path.begin(), m_path.end(), [&](const PathStage& stage) { return stage.runner == runner; });
+}
+
+bool StreamCall::pathBroken(TimePoint now) const
+{
+    return std::any_of(std::next(m_path.begin()), m_path.end(), [&](const PathStage& stage) {
+        const RunnerDirectory::Runner* runner = m_context.runners.find(stage.runner);
+        return !runner || runner->entry.draining || runner->dead(now);
+    });
+}
+
 void StreamCall::runnerLost(const EndpointId& runner)
 {
-    const bool onPath
-        = std::any_of(m_path.begin(), m_path.end(), [&](const PathStage& stage) { return stage.runner == runner; });
+    const TimePoint now = m_context.now();
     // Events that still flow are not behind the lost runner.
     constexpr Duration flowing = std::chrono::milliseconds(250);
-    if (!onPath || isOver() || !m_exchange || m_context.now() - m_stalls->lastEvent() < flowing
-        || !m_matched.route->mayRepeat())
+    if (!onPath(runner) || isOver() || !m_exchange || now - m_stalls->lastEvent() < flowing)
         return;
     m_avoided.insert(runner);
+    m_leaving[runner] = true;
+    if (m_moving || moveAway(runner, now) || !m_matched.route->mayRepeat())
+        return;
     m_ranAt.erase(runner);
     stopRunner();
     failOver("runner-lost", true);
 }
 
+void StreamCall::runnerLeaving(const EndpointId& runner)
+{
+    if (isOver() || !m_exchange || !onPath(runner) || m_path.front().runner == runner)
+        return;
+    if (m_leaving.empty())
+        m_nextMove = m_context.now() + moveDelay;
+    m_leaving.emplace(runner, false);
+}
+
+bool StreamCall::moveAway(const EndpointId& runner, TimePoint now)
+{
+    m_nextMove = now + moveRetry;
+    if (!m_matched.service->engine)
+        return false;
+    const PathFinder finder(m_context.runners, m_context.ledger);
+    auto changed = finder.detour(m_path, runner, wanted(resumeCacheLimit), *m_matched.service->engine, now);
+    if (!changed)
+        return false;
+    m_moving = true;
+    const Path before = std::exchange(m_path, *std::move(changed));
+    m_context.ledger.release(before, expectedTokens());
+    m_context.ledger.commit(m_path, expectedTokens());
+    const auto self = std::static_pointer_cast<StreamCall>(shared_from_this());
+    const std::uint32_t run = m_runs;
+    orderPathChange(
+        m_context, m_matched.request.id, m_path, [self, run, runner, before](const PathChangeAnswer& answer) {
+            if (!self->isOver() && self->m_runs == run && self->m_exchange)
+                self->moved(runner, before, answer);
+        });
+    return true;
+}
+
+void StreamCall::moved(const EndpointId& runner, const Path& before, const PathChangeAnswer& answer)
+{
+    m_moving = false;
+    LogLine line = logLine("path-changed");
+    line.add("leaving", runner.value()).add("outcome", static_cast<std::int64_t>(answer.outcome));
+    line.add("fault", answer.faultAt).add("registry", static_cast<std::int64_t>(m_context.registryVersion.value()));
+    m_context.log.log(line);
+    if (answer.outcome == OrderOutcome::Begun || answer.outcome == OrderOutcome::Done) {
+        m_leaving.erase(runner);
+        // The new stages read the tokens so far before the next event.
+        m_stalls.emplace(StallDetector::Limits {}, m_context.now());
+        return;
+    }
+    const bool dead = m_leaving[runner];
+    m_context.ledger.release(m_path, expectedTokens());
+    m_path = before;
+    m_context.ledger.commit(m_path, expectedTokens());
+    if (const RunnerDirectory::Runner* fault = m_context.runners.at(answer.faultAt)) {
+        const EndpointId full = fault->entry.id;
+        m_context.runners.failed(full, m_context.now(), refusalSuspension);
+        m_avoided.insert(full);
+    }
+    if (!dead || !m_matched.route->mayRepeat())
+        return;
+    stopRunner();
+    failOver("runner-lost", true);
+}
+
 void StreamCall::stopRunner()
 {
     if (m_waiting) {
--- a/packages/gateway/fuchsialb/src/Gateway/StreamCall.h
+++ b/packages/gateway/fuchsialb/src/Gateway/StreamCall.h
@@ -3,6 +3,7 @@
 #include "Call.h"
 #include "EventSplitter.h"
 
+#include <map>
 #include <set>
 
 namespace fuchsialb {
@@ -23,6 +24,7 @@
     bool admit() override;
     void waitedTooLong() override;
     void runnerLost(const EndpointId& runner) override;
+    void runnerLeaving(const EndpointId& runner) override;
 
     /// \return How long the request kept its room, for requests that were served.
     std::optional<Duration> servedDuration() const { return m_servedDuration; }
@@ -34,15 +36,23 @@
     bool canBePlaced(TimePoint now) const;
     void wait(Duration patience);
     std::optional<Path> findPath(TimePoint now);
+    PathRequest wanted(double cacheLimit) const;
     void run(Path path);
-    /// \return The data centres that a path passes through, in order.
-    std::string dataCentresOf(const Path& path) const;
     HttpHandlers handlers();
     bool takeHead(const HttpResponse& head);
     void takePiece(std::string_view piece);
     void takeResponse(HttpResponse response);
     void takeFailure(const HttpFailure& failure);
     void takeRefusal(const RunnerAnswer& answer);
+    bool onPath(const EndpointId& runner) const;
+    /// \return Whether a stage of the path is known to have left or died, which ends the answer at the first one.
+    bool pathBroken(TimePoint now) const;
+    /// \brief Has the running request take another path past a stage that leaves or died.
+    ///
+    /// The other stages keep its KV cache; only the new ones read its tokens again.
+    /// \return Whether the order was given.
+    bool moveAway(const EndpointId& runner, TimePoint now);
+    void moved(const EndpointId& runner, const Path& before, const PathChangeAnswer& answer);
     void askForStall();
     void takeReport(const RunnerReport& report);
     /// Frees the room of the path and forgets the exchange.
@@ -77,6 +87,11 @@
     /// First runners that may have run the request and are not known to be dead.
     std::set<EndpointId> m_ranAt;
     std::optional<StallDetector> m_stalls;
+    /// Stages of the path that are leaving, and whether they are dead already.
+    std::map<EndpointId, bool> m_leaving;
+    /// An order to change the path is on its way.
+    bool m_moving = false;
+    TimePoint m_nextMove {};
     TimePoint m_startedAt {};
     bool m_waiting = false;
     std::optional<Duration> m_servedDuration;
--- a/packages/gateway/fuchsialb/src/Gateway/Translator.h
+++ b/packages/gateway/fuchsialb/src/Gateway/Translator.h
@@ -80,6 +80,13 @@
     std::vector<StalledRequest> stalled;
 };
 
+/// \brief How a runner answered the order to take a running request over another path.
+struct PathChangeAnswer {
+    OrderOutcome outcome = OrderOutcome::Unknown;
+    /// "IP:port" of a runner on the new path that can't take its part, if named.
+    std::string faultAt;
+};
+
 /// \brief Answers of the system's own.
 enum class OwnAnswer : unsigned char {
     /// 400
@@ -114,6 +121,8 @@
     virtual absl::StatusOr<RunnerReport> report(const HttpResponse& response) const = 0;
     virtual HttpRequest placeRequest(const PlaceOrder& order) const = 0;
     virtual OrderOutcome placeOutcome(const HttpResponse& response) const = 0;
+    virtual HttpRequest pathChangeRequest(const std::string& requestId, const Path& path) const = 0;
+    virtual PathChangeAnswer pathChangeAnswer(const HttpResponse& response) const = 0;
 
     /// Prefixes of the keys that hold the configuration and the runners.
     virtual std::string configurationKey() const = 0;
