--- a/packages/gateway/fuchsialb/src/Gateway/Call.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/Call.cpp
@@ -107,12 +107,13 @@
         return;
     m_isOver = true;
     const auto self = shared_from_this();
-    stopRunner();
     LogLine line = logLine("request-over");
     line.add("outcome", outcome);
     if (!cause.empty())
         line.add("cause", cause);
+    describe(line);
     m_context.log.log(line);
+    stopRunner();
     m_context.metrics.count("requests", "outcome", outcome);
     if (!cause.empty())
         m_context.metrics.count("request_causes", "cause", cause);
--- a/packages/gateway/fuchsialb/src/Gateway/Call.h
+++ b/packages/gateway/fuchsialb/src/Gateway/Call.h
@@ -76,6 +76,8 @@
     /// Stops the work at the runner.
     virtual void stopRunner() = 0;
     void over(std::string_view outcome, std::string_view cause);
+    /// Adds to the line on the end of the request what this kind of request knows.
+    virtual void describe(LogLine&) const { }
     LogLine logLine(std::string_view event) const;
 
     GatewayContext& m_context;
--- a/packages/gateway/fuchsialb/src/Gateway/StreamCall.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/StreamCall.cpp
@@ -535,6 +535,16 @@
     failOver("runner-lost", true);
 }
 
+void StreamCall::describe(LogLine& line) const
+{
+    line.add("runs", static_cast<std::int64_t>(m_runs)).add("waiting", m_waiting ? 1 : 0);
+    line.add("last_event", static_cast<std::int64_t>(m_lastEvent.value_or(0)));
+    if (!m_stalls)
+        return;
+    const Duration pause = m_context.now() - m_stalls->lastEvent();
+    line.add("pause_ms", std::chrono::duration_cast<std::chrono::milliseconds>(pause).count());
+}
+
 void StreamCall::stopRunner()
 {
     if (m_waiting) {
--- a/packages/gateway/fuchsialb/src/Gateway/StreamCall.h
+++ b/packages/gateway/fuchsialb/src/Gateway/StreamCall.h
@@ -31,6 +31,7 @@
 
 private:
     void stopRunner() override;
+    void describe(LogLine& line) const override;
 
     /// \return Whether runners hold all layers and are large enough, so that waiting can help.
     bool canBePlaced(TimePoint now) const;
