Compare layers by index where the planner looks for runners that can be spared

Cause: found by reading: a registry entry with layers beyond those of the model made an iterator range whose end lies before its begin, which is undefined. Change: a loop over indices, bounded by the model as in the other functions.

--- a/packages/core/fuchsialb/src/Fleet/PlacementPlanner.cpp
+++ b/packages/core/fuchsialb/src/Fleet/PlacementPlanner.cpp
@@ -201,9 +201,10 @@
             if (taken[i] || !list[i].node->idle || held.count() == 0
                 || engine.layersWithRoom(*list[i].accelerator, replicaTokens) == 0)
                 continue;
-            const auto from = holders.begin() + held.first;
-            const auto to = holders.begin() + std::min<std::uint32_t>(held.end, engine.layers);
-            if (std::any_of(from, to, [](std::uint32_t count) { return count < 2; }))
+            bool needed = false;
+            for (std::uint32_t layer = held.first; layer < std::min(held.end, engine.layers); ++layer)
+                needed = needed || holders[layer] < 2;
+            if (needed)
                 continue;
             if (!best || list[i].node->promised < list[*best].node->promised)
                 best = i;
--- a/packages/core/tests/FleetPlacementTest.cpp
+++ b/packages/core/tests/FleetPlacementTest.cpp
@@ -105,6 +105,16 @@
             }
         }
 
+        SECTION("a runner that says it holds layers that the model does not have is free for a gap")
+        {
+            nodes.push_back({ EndpointId("odd"), AcceleratorKindId("middle"), { 100, 120 } });
+            CHECK(PlacementPlanner::plan(nodes, engine).empty());
+            nodes.erase(nodes.begin() + 3);
+            const auto repair = PlacementPlanner::plan(nodes, engine);
+            REQUIRE(repair.size() == 1);
+            CHECK(repair.front().runner == EndpointId("odd"));
+        }
+
         SECTION("a spare stays empty until a runner leaves, then takes its layers")
         {
             PlacementNode spare { EndpointId("new"), AcceleratorKindId("middle"), {} };
