Pass the callback of a report by reference

Cause: the linter finds a copy for each call in RunnerOrders; the whole lint had not run on that file. Change: a const reference, as for the orders beside it.

--- a/packages/gateway/fuchsialb/src/Gateway/RunnerOrders.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/RunnerOrders.cpp
@@ -10,8 +10,8 @@
 
 } // namespace
 
-void askReport(
-    GatewayContext& context, const std::string& address, std::function<void(absl::StatusOr<RunnerReport>)> onReport)
+void askReport(GatewayContext& context, const std::string& address,
+    const std::function<void(absl::StatusOr<RunnerReport>)>& onReport)
 {
     HttpRequest request = context.translator.reportRequest(address);
     request.timeout = reportTimeout;
--- a/packages/gateway/fuchsialb/src/Gateway/RunnerOrders.h
+++ b/packages/gateway/fuchsialb/src/Gateway/RunnerOrders.h
@@ -11,8 +11,8 @@
 
 /// Asks a runner for its state.
 /// \param onReport Told once: the report, `EndpointFailed` when the answer is none, or why none came.
-void askReport(
-    GatewayContext& context, const std::string& address, std::function<void(absl::StatusOr<RunnerReport>)> onReport);
+void askReport(GatewayContext& context, const std::string& address,
+    const std::function<void(absl::StatusOr<RunnerReport>)>& onReport);
 
 /// Orders a runner to hold a range of layers.
 /// \param onOutcome Told once.
