Count a run at a runner that later refuses the same request

The trace of one: it ran at A and broke off, ran at B and broke off, was then refused by A for lack of room, and the refusal took A's earlier run off the count, so a third runner was allowed. Ruled out: load of the machine; the trace alone shows the wrong count. Change: RunHistory in the core counts the runners of a request; a refusal takes back the last run only when that run was the first at its runner.

--- a/packages/core/fuchsialb/Fleet.h
+++ b/packages/core/fuchsialb/Fleet.h
@@ -17,5 +17,6 @@
 #include "src/Fleet/PlacementPlanner.h"
 #include "src/Fleet/RepeatBudget.h"
 #include "src/Fleet/RoutingTable.h"
+#include "src/Fleet/RunHistory.h"
 #include "src/Fleet/RunnerDirectory.h"
 #include "src/Fleet/StallDetector.h"
--- a/packages/core/tests/FleetAdmissionTest.cpp
+++ b/packages/core/tests/FleetAdmissionTest.cpp
@@ -94,6 +94,37 @@
 }
 
 // Guards against streams that wait for a dead runner, and against giving up one that is only slow.
+// Guards against a request that runs at more runners than its route allows, as on a day on which each of two runners
+// broke the answer off and the first then refused to go on with it.
+TEST_CASE("A request runs at no more runners than its route allows")
+{
+    RunHistory history(2);
+    history.begin(EndpointId("a"));
+    CHECK(history.mayRunElsewhere());
+
+    SECTION("and a run that was refused does not count")
+    {
+        history.takeBack();
+        CHECK(history.runners().empty());
+    }
+
+    SECTION("but a refusal does not take an earlier run at the same runner back")
+    {
+        history.begin(EndpointId("b"));
+        CHECK_FALSE(history.mayRunElsewhere());
+        history.begin(EndpointId("a"));
+        history.takeBack();
+        CHECK_FALSE(history.mayRunElsewhere());
+    }
+
+    SECTION("and runners that died do not count")
+    {
+        history.begin(EndpointId("b"));
+        history.died(EndpointId("b"));
+        CHECK(history.mayRunElsewhere());
+    }
+}
+
 TEST_CASE("A stream that has stopped is asked about, then given up")
 {
     using Verdict = StallDetector::Verdict;
--- a/packages/gateway/fuchsialb/src/Gateway/StreamCall.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/StreamCall.cpp
@@ -52,6 +52,7 @@
     , m_meanDuration(meanDuration)
     , m_onRunnerLost(std::move(onRunnerLost))
     , m_lastEvent(m_matched.request.lastEvent)
+    , m_history(m_matched.route->maxAttempts)
 {
 }
 
@@ -65,15 +66,14 @@
     return static_cast<double>(request.promptTokens + output);
 }
 
-bool StreamCall::mayRunElsewhere() const { return m_ranAt.size() < m_matched.route->maxAttempts; }
-
 bool StreamCall::mayRunAgain() const
 {
     if (!m_mayHaveRun)
         return true;
-    const bool anySound = std::any_of(
-        m_ranAt.begin(), m_ranAt.end(), [&](const EndpointId& runner) { return !m_avoided.contains(runner); });
-    return m_matched.route->mayRepeat() && (mayRunElsewhere() || anySound);
+    const std::set<EndpointId>& ran = m_history.runners();
+    const bool anySound
+        = std::any_of(ran.begin(), ran.end(), [&](const EndpointId& runner) { return !m_avoided.contains(runner); });
+    return m_matched.route->mayRepeat() && (m_history.mayRunElsewhere() || anySound);
 }
 
 void StreamCall::start()
@@ -133,8 +133,8 @@
     const EngineProfile& engine = *m_matched.service->engine;
     PathRequest request = wanted(limit);
     request.mayCross = engine.linkMegabits <= 0 || m_context.link.allows(now, m_context.hosts.size());
-    if (!mayRunElsewhere())
-        request.firstAmong = m_ranAt;
+    if (!m_history.mayRunElsewhere())
+        request.firstAmong = m_history.runners();
     auto path = finder.find(request, engine, now);
     if (path)
         m_context.link.take(engine.crossingTime(expectedTokens()) * static_cast<int>(crossings(*path)));
@@ -174,8 +174,7 @@
 {
     const TimePoint now = m_context.now();
     m_path = std::move(path);
-    m_lastFirst = m_path.front().runner;
-    m_ranAt.insert(m_lastFirst);
+    m_history.begin(m_path.front().runner);
     m_context.ledger.commit(m_path, expectedTokens());
     ++m_runs;
     m_splitter = {};
@@ -333,7 +332,7 @@
     m_context.runners.foundDead(runner, m_context.now(), deadSuspension);
     m_avoided.insert(runner);
     // The limit of runners is on those that are there.
-    m_ranAt.erase(runner);
+    m_history.died(runner);
     logBlame(runner, cause);
     m_onRunnerLost(runner);
 }
@@ -360,7 +359,7 @@
         return;
     m_mayHaveRun = m_mayHaveRun || mayHaveRun;
     if (!mayHaveRun)
-        m_ranAt.erase(m_lastFirst);
+        m_history.takeBack();
     const TimePoint now = m_context.now();
     if (!mayRunAgain() || timeLeft(now) == Duration::zero() || !m_context.repeats.take(now, m_context.hosts.size())) {
         giveUp(cause);
@@ -470,7 +469,7 @@
     m_leaving[runner] = true;
     if (m_moving || moveAway(runner, now) || !m_matched.route->mayRepeat())
         return;
-    m_ranAt.erase(runner);
+    m_history.died(runner);
     stopRunner();
     failOver("runner-lost", true);
 }
--- a/packages/gateway/fuchsialb/src/Gateway/StreamCall.h
+++ b/packages/gateway/fuchsialb/src/Gateway/StreamCall.h
@@ -67,8 +67,6 @@
     void logBlame(const EndpointId& runner, std::string_view cause);
     void refuse(std::string_view cause);
     double expectedTokens() const;
-    /// \return Whether the request may run at a further runner.
-    bool mayRunElsewhere() const;
     bool mayRunAgain() const;
 
     const Duration& m_meanDuration;
@@ -77,16 +75,14 @@
     std::optional<HttpExchangeId> m_exchange;
     /// Rises with each run, so that late callbacks of an earlier one are told apart.
     std::uint32_t m_runs = 0;
-    /// First runner of the last run.
-    EndpointId m_lastFirst;
     bool m_mayHaveRun = false;
     bool m_begun = false;
     std::optional<std::uint64_t> m_lastEvent;
     EventSplitter m_splitter;
     std::optional<HttpResponse> m_head;
     std::set<EndpointId> m_avoided;
-    /// First runners that may have run the request and are not known to be dead.
-    std::set<EndpointId> m_ranAt;
+    /// First runners of the paths.
+    RunHistory m_history;
     std::optional<StallDetector> m_stalls;
     /// Stages of the path that are leaving, and whether they are dead already.
     std::map<EndpointId, bool> m_leaving;
