Show that hosts copy a new configuration to all others in a failing test

Change: core.FleetConfigurationCopiesTest, listed in KNOWN-RED.txt; the hosts of FleetHostsTest move to a support file for both tests. Before: no test counted the copies. After: fails with 630 copies among 36 hosts that had all read the configuration from the store, and with 35 copies from one host at once. FleetHostsTest passes as before. Conclusion: at about 53 KB each this is the 1.9 MB in and out of each host recorded within a second of the change.

--- a/packages/core/tests/FleetHostsTest.cpp
+++ b/packages/core/tests/FleetHostsTest.cpp
@@ -1,3 +1,4 @@
+#include "tests/support/FleetDataCentre.h"
 #include "tests/support/FleetSamples.h"
 
 #include <catch2/catch.hpp>
@@ -7,34 +8,6 @@
 
 namespace {
 
-/// A host with the state that its beats carry.
-struct Host {
-    HostId id;
-    DataCentreId dataCentre;
-    HostDirectory directory;
-    LoadLedger ledger;
-    RunnerDirectory runners;
-    ConfigurationInForce configuration { 5s };
-    BeatExchange beats;
-
-    Host(const char* name, const char* dataCentreName)
-        : id(name)
-        , dataCentre(dataCentreName)
-        , directory(id, dataCentre)
-        , beats({ id, dataCentre, std::string(name) + ":1", directory, ledger, runners, configuration })
-    {
-    }
-
-    RegisteredHost registration() const { return { id, dataCentre, id.value() + ":1" }; }
-};
-
-std::shared_ptr<const RoutingTable> table(std::uint64_t version)
-{
-    auto made = std::make_shared<RoutingTable>();
-    made->version = ConfigurationVersion(version);
-    return made;
-}
-
 /// Delivers all beats that are due at `now`; the boot clock equals the monotonic one.
 std::vector<BeatExchange::ConfigurationUpdate> exchange(std::vector<Host*> hosts, TimePoint now)
 {
--- /dev/null
+++ b/packages/core/tests/support/FleetDataCentre.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "fuchsialb/Fleet.h"
+
+#include <memory>
+#include <vector>
+
+namespace fuchsialb::test {
+
+using namespace std::chrono_literals;
+
+/// A host with the state that its beats carry.
+struct Host {
+    HostId id;
+    DataCentreId dataCentre;
+    HostDirectory directory;
+    LoadLedger ledger;
+    RunnerDirectory runners;
+    ConfigurationInForce configuration { 5s };
+    BeatExchange beats;
+
+    Host(const char* name, const char* dataCentreName)
+        : id(name)
+        , dataCentre(dataCentreName)
+        , directory(id, dataCentre)
+        , beats({ id, dataCentre, std::string(name) + ":1", directory, ledger, runners, configuration })
+    {
+    }
+
+    RegisteredHost registration() const { return { id, dataCentre, id.value() + ":1" }; }
+};
+
+std::shared_ptr<const RoutingTable> table(std::uint64_t version);
+
+/// Hosts of one data centre, all with configuration 7, that know each other by their registrations.
+struct FleetDataCentre {
+    std::vector<std::unique_ptr<Host>> hosts;
+    TimePoint now { 100s };
+    /// Copies of a configuration in the beats so far, and the largest number that one host sent at once.
+    std::size_t copies = 0;
+    std::size_t mostCopiesAtOnce = 0;
+
+    explicit FleetDataCentre(std::size_t count);
+
+    /// Delivers the beats that are due and advances the time by 100 ms. A host that gets the text of a configuration
+    /// accepts it as version 9.
+    void step();
+    void run(Duration time);
+    std::size_t withConfiguration(std::uint64_t version) const;
+};
+
+} // namespace fuchsialb::test
