Keep the last proof when a newer configuration comes into force

Cause: the time of the last proof was replaced by the start of the watch that reported the change, which may be 20 s old, although the host had a proof of the previous version that was younger. Change: the later of the two times counts. Versions only rise, so nothing newer than the new version can have existed at the time of the old proof.

--- a/packages/core/fuchsialb/src/Fleet/ConfigurationInForce.cpp
+++ b/packages/core/fuchsialb/src/Fleet/ConfigurationInForce.cpp
@@ -12,7 +12,8 @@
         return false;
     }
     m_table = std::move(table);
-    m_provenAt = provenAt;
+    // A proof of an older version holds for this one too, since versions only rise.
+    m_provenAt = std::max(m_provenAt, provenAt);
     return true;
 }
 
