Let outdated hosts ask for a copy of the configuration

Cause: a host added the text to its heartbeat to every host whose last heartbeat told an older version. All hosts read a change from the store within 90 ms, so each sent the text to up to 35 others, and the copies, with the square of the hosts in number, filled links of 14 Mbit/s for over a second. Change: a host that knows of a newer version and hasn't read it within 800 ms asks one host at a time, chosen by rendezvous hashing, with a flag in its heartbeat. A host sends one copy in 100 ms. Before: core.FleetConfigurationCopiesTest counted 630 copies where all 36 hosts read the store, and 35 copies from one host at once. After: no copy, one copy for one host without the store, and one at a time where a single host has the version; all 36 have it within 6 s. Conclusion: the number of copies no longer depends on how many hosts read the change at the same time.

--- a/packages/core/fuchsialb/src/Fleet/BeatExchange.cpp
+++ b/packages/core/fuchsialb/src/Fleet/BeatExchange.cpp
@@ -1,5 +1,7 @@
 #include "BeatExchange.h"
 
+#include "../Member/Membership.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -10,8 +12,12 @@
     // A load changes by about one request in this time; a shorter period costs processor time for little gain.
     constexpr Duration localBeatPeriod = std::chrono::milliseconds(200);
     constexpr Duration remoteBeatPeriod = std::chrono::milliseconds(500);
-    // Time allowed for a configuration to arrive and be acknowledged before it is sent again.
-    constexpr Duration configurationResendDelay = std::chrono::milliseconds(800);
+    // A host that reaches the store has read a new configuration within this time after the first other host.
+    constexpr Duration configurationReadTime = std::chrono::milliseconds(800);
+    // Time in which a host sends the copy that it was asked for; another host is asked afterwards.
+    constexpr Duration configurationSourceTime = std::chrono::milliseconds(600);
+    // Copies to several hosts follow each other at this distance, since one can take half of it on a slow link.
+    constexpr Duration configurationCopyInterval = std::chrono::milliseconds(100);
 
 } // namespace
 
@@ -27,10 +33,11 @@
     beat.leaving = leaving;
     beat.configuration = m_state.configuration.version();
     beat.proofAge = std::max(Duration(0), bootNow - m_state.configuration.provenAt());
-    if (peer.configurationKnown && peer.configuration < beat.configuration
-        && now - peer.configurationSentAt >= configurationResendDelay) {
+    if (peer.wantsConfiguration && peer.configuration < beat.configuration && now >= m_nextConfigurationCopyAt
+        && now - peer.configurationSentAt >= configurationSourceTime) {
         beat.configurationText = text;
         peer.configurationSentAt = now;
+        m_nextConfigurationCopyAt = now + configurationCopyInterval;
     }
     beat.load = local ? m_state.ledger.own() : m_state.ledger.dataCentreTotal();
     if (!local)
@@ -71,9 +78,40 @@
         beats.push_back(
             { id, host.registration.address, makeBeat(peer, local, now, bootNow, leaving, configurationText) });
     }
+    requestConfiguration(beats, now);
     return beats;
 }
 
+void BeatExchange::requestConfiguration(std::vector<Outgoing>& beats, TimePoint now)
+{
+    const ConfigurationVersion version = m_state.configuration.version();
+    const bool outdated = std::any_of(
+        m_peers.begin(), m_peers.end(), [&](const auto& peer) { return version < peer.second.configuration; });
+    if (!outdated) {
+        m_outdatedSince.reset();
+        return;
+    }
+    if (!m_outdatedSince)
+        m_outdatedSince = now;
+    if (now - *m_outdatedSince < configurationReadTime)
+        return;
+    if (now >= m_configurationSourceUntil) {
+        std::vector<HostId> sources;
+        for (const Outgoing& outgoing : beats) {
+            if (version < m_peers[outgoing.to].configuration)
+                sources.push_back(outgoing.to);
+        }
+        if (sources.empty())
+            return;
+        // Spreads the requests of many outdated hosts over the hosts that have the configuration.
+        const std::string key = m_state.self.value() + std::to_string(++m_configurationRequests);
+        m_configurationSource = rendezvous(key, sources, 1).front();
+        m_configurationSourceUntil = now + configurationSourceTime;
+    }
+    for (Outgoing& outgoing : beats)
+        outgoing.beat.configurationWanted = outgoing.to == m_configurationSource;
+}
+
 void BeatExchange::removeSilentPeers(TimePoint now)
 {
     for (auto peer = m_peers.begin(); peer != m_peers.end();) {
@@ -100,7 +138,7 @@
     Peer& peer = m_peers[from];
     peer.received = beat.sequence;
     peer.configuration = beat.configuration;
-    peer.configurationKnown = true;
+    peer.wantsConfiguration = beat.configurationWanted;
     const bool local = beat.dataCentre == m_state.dataCentre;
     m_state.hosts.recordBeat({ from, beat.dataCentre, beat.address }, beat.leaving, now);
     if (local) {
--- a/packages/core/fuchsialb/src/Fleet/BeatExchange.h
+++ b/packages/core/fuchsialb/src/Fleet/BeatExchange.h
@@ -16,8 +16,10 @@
 /// All hosts of a data centre exchange beats. Between data centres only the leaders do, with the total load of their
 /// data centre, since traffic between data centres is expensive. Beats carry the load (so that all hosts admit against
 /// the same total), runners found dead (so that other hosts needn't detect them by failed requests), and the proof
-/// that a configuration is the newest (so that a host cut off from the store can still trust its configuration
-/// and receives newer ones).
+/// that a configuration is the newest (so that a host cut off from the store can still trust its configuration).
+///
+/// A host that learns of a newer configuration and doesn't get it from the store asks one other host at a time for a
+/// copy. Each host sends one copy at a time, so that copies take a bounded part of its link.
 class BeatExchange {
 public:
     struct State {
@@ -69,18 +71,27 @@
         std::array<Duration, maxSentTimes> sentAt {};
         TimePoint nextBeatAt {};
         ConfigurationVersion configuration;
-        /// A beat of the peer has told its configuration version.
-        bool configurationKnown = false;
+        /// The last beat of the peer has asked for a copy of a newer configuration.
+        bool wantsConfiguration = false;
         TimePoint configurationSentAt {};
     };
 
     HostBeat makeBeat(Peer& peer, bool local, TimePoint now, Duration bootNow, bool leaving, const std::string& text);
     void removeSilentPeers(TimePoint now);
+    /// Asks one of the recipients for a copy of its newer configuration, if this host doesn't get it from the store.
+    void requestConfiguration(std::vector<Outgoing>& beats, TimePoint now);
 
     State m_state;
     std::map<HostId, Peer> m_peers;
     /// Arrival of the last beat from each other data centre.
     std::map<DataCentreId, TimePoint> m_remoteBeatAt;
+    /// Since when other hosts are known to have a newer configuration than this one.
+    std::optional<TimePoint> m_outdatedSince;
+    /// The host that is asked for a copy of the configuration, and until when.
+    HostId m_configurationSource;
+    TimePoint m_configurationSourceUntil {};
+    std::uint64_t m_configurationRequests = 0;
+    TimePoint m_nextConfigurationCopyAt {};
 };
 
 } // namespace fuchsialb
--- a/packages/core/fuchsialb/src/Fleet/HostBeat.h
+++ b/packages/core/fuchsialb/src/Fleet/HostBeat.h
@@ -42,8 +42,10 @@
     ConfigurationVersion configuration;
     /// Time since the sender's last proof that its version is the newest.
     Duration proofAge { 0 };
-    /// Source text of the configuration; sent only to a receiver with an older version.
+    /// Source text of the configuration; sent only to a receiver that asked for it and has an older version.
     std::string configurationText;
+    /// The sender asks the receiver for the text of its newer configuration.
+    bool configurationWanted = false;
     /// Load from the sender or, in a beat to another data centre, from all hosts of the sender's data centre.
     LoadTable load;
     /// Loads that the sender received from other data centres; empty in a beat to another data centre.
--- a/packages/wire/fuchsialb/src/Wire/PeerMessageDecode.cpp
+++ b/packages/wire/fuchsialb/src/Wire/PeerMessageDecode.cpp
@@ -308,6 +308,7 @@
         to.proofAge = in.duration(from.proof_age_us(), "host_beat.proof_age_us");
         to.configurationText
             = in.text(from.configuration_text(), internal::maxConfigurationBytes, "host_beat.configuration_text");
+        to.configurationWanted = from.configuration_wanted();
         to.load = decodeLoads(in, from.load());
         in.require(from.remote_size() <= internal::maxRemoteLoads, "too many data centres");
         in.require(from.suspicions_size() <= internal::maxRunnerLoads, "too many suspicions");
--- a/packages/wire/fuchsialb/src/Wire/PeerMessageEncode.cpp
+++ b/packages/wire/fuchsialb/src/Wire/PeerMessageEncode.cpp
@@ -211,6 +211,7 @@
             to.set_configuration(from.configuration.value());
             to.set_proof_age_us(micros(from.proofAge));
             to.set_configuration_text(from.configurationText);
+            to.set_configuration_wanted(from.configurationWanted);
             encodeLoads(from.load, *to.mutable_load());
             for (const DataCentreLoad& remote : from.remote) {
                 wire::DataCentreLoad& added = *to.add_remote();
--- a/packages/wire/tests/support/PeerMessages.cpp
+++ b/packages/wire/tests/support/PeerMessages.cpp
@@ -62,6 +62,7 @@
         drawn.configuration = ConfigurationVersion(below(anyNumber));
         drawn.proofAge = duration(below);
         drawn.configurationText = raw(below);
+        drawn.configurationWanted = below(2) == 1;
         drawn.load = loads(below);
         for (std::uint64_t i = below(3); i > 0; --i)
             drawn.remote.push_back({ DataCentreId(id(below)), loads(below) });
