Show that the beats of a host grow with the number of hosts

Cause: all hosts of a data centre send each other a beat every 200 ms, so their number grows with the square of the hosts. Before: no test counted beats by the number of hosts. Conclusion: the cost of a host has to grow more slowly than the hosts.

--- a/packages/core/tests/support/FleetDataCentre.cpp
+++ b/packages/core/tests/support/FleetDataCentre.cpp
@@ -19,6 +19,7 @@
     for (std::size_t i = 0; i < count; ++i)
         hosts.push_back(std::make_unique<Host>(fmt::format("host-{:03}", i).c_str(), "east"));
     for (const auto& host : hosts) {
+        m_byId.emplace(host->id, host.get());
         static_cast<void>(host->configuration.accept(table(7), now.time_since_epoch()));
         for (const auto& other : hosts)
             host->directory.put(other->registration(), now);
@@ -27,15 +28,17 @@
 
 void FleetDataCentre::step()
 {
-    for (const auto& from : hosts) {
+    for (Host* from : living()) {
         std::size_t copiesAtOnce = 0;
         for (const auto& outgoing : from->beats.dueBeats(now, now.time_since_epoch(), false, "text")) {
             copiesAtOnce += outgoing.beat.configurationText.empty() ? 0 : 1;
-            const auto to
-                = std::find_if(hosts.begin(), hosts.end(), [&](const auto& host) { return host->id == outgoing.to; });
-            REQUIRE(to != hosts.end());
-            if (const auto update = (*to)->beats.receive(from->id, outgoing.beat, now))
-                static_cast<void>((*to)->configuration.accept(table(9), update->provenAt));
+            ++messages[from->id];
+            if (!isAlive(outgoing.to))
+                continue;
+            ++messages[outgoing.to];
+            Host& to = *m_byId.at(outgoing.to);
+            if (const auto update = to.beats.receive(from->id, outgoing.beat, now))
+                static_cast<void>(to.configuration.accept(table(9), update->provenAt));
         }
         copies += copiesAtOnce;
         mostCopiesAtOnce = std::max(mostCopiesAtOnce, copiesAtOnce);
@@ -43,6 +46,16 @@
     now += 100ms;
 }
 
+std::vector<Host*> FleetDataCentre::living() const
+{
+    std::vector<Host*> list;
+    for (const auto& host : hosts) {
+        if (isAlive(host->id))
+            list.push_back(host.get());
+    }
+    return list;
+}
+
 void FleetDataCentre::run(Duration time)
 {
     for (const TimePoint end = now + time; now < end;)
--- a/packages/core/tests/support/FleetDataCentre.h
+++ b/packages/core/tests/support/FleetDataCentre.h
@@ -2,7 +2,9 @@
 
 #include "fuchsialb/Fleet.h"
 
+#include <map>
 #include <memory>
+#include <set>
 #include <vector>
 
 namespace fuchsialb::test {
@@ -39,14 +41,25 @@
     /// Copies of a configuration in the beats so far, and the largest number that one host sent at once.
     std::size_t copies = 0;
     std::size_t mostCopiesAtOnce = 0;
+    /// Beats that each host has sent and received so far.
+    std::map<HostId, std::size_t> messages;
 
     explicit FleetDataCentre(std::size_t count);
 
-    /// Delivers the beats that are due and advances the time by 100 ms. A host that gets the text of a configuration
-    /// accepts it as version 9.
+    /// Delivers the beats that are due between living hosts and advances the time by 100 ms. A host that gets the text
+    /// of a configuration accepts it as version 9.
     void step();
+    /// Ends a host without notice.
+    void kill(const HostId& id) { m_dead.insert(id); }
+    bool isAlive(const HostId& id) const { return !m_dead.contains(id); }
+    /// \return The living hosts.
+    std::vector<Host*> living() const;
     void run(Duration time);
     std::size_t withConfiguration(std::uint64_t version) const;
+
+private:
+    std::map<HostId, Host*> m_byId;
+    std::set<HostId> m_dead;
 };
 
 } // namespace fuchsialb::test
