Divide the hosts of a large data centre into cells for beats

Cause: every host of a data centre sent every other one a beat in 200 ms. Change: more than eight hosts are divided into cells by a hash of their ids, about the square root of the hosts in number. The hosts of a cell exchange beats as before. The leaders of the cells exchange the totals of their cells, and pass on loads of other cells and data centres and findings of dead runners. The leader of the data centre is the cell leader with the lowest id. A host that is no longer registered keeps its cell for ten seconds. Conclusion: data centres of up to eight hosts exchange beats as before.

--- a/packages/core/fuchsialb/Fleet.h
+++ b/packages/core/fuchsialb/Fleet.h
@@ -9,6 +9,7 @@
 #include "src/Fleet/ConfigurationInForce.h"
 #include "src/Fleet/EngineProfile.h"
 #include "src/Fleet/HostBeat.h"
+#include "src/Fleet/HostCells.h"
 #include "src/Fleet/HostDirectory.h"
 #include "src/Fleet/LinkBudget.h"
 #include "src/Fleet/LoadLedger.h"
--- a/packages/core/fuchsialb/src/Fleet/BeatExchange.cpp
+++ b/packages/core/fuchsialb/src/Fleet/BeatExchange.cpp
@@ -19,10 +19,43 @@
     // Copies to several hosts follow each other at this distance, since one can take half of it on a slow link.
     constexpr Duration configurationCopyInterval = std::chrono::milliseconds(100);
 
+    // Loads of other cells count for this long without a beat, like those of hosts.
+    constexpr Duration cellLoadTimeout = std::chrono::milliseconds(1200);
+
 } // namespace
 
+BeatExchange::Distance BeatExchange::distance(const HostId& host) const
+{
+    if (!m_state.hosts.isLocal(host))
+        return Distance::OtherDataCentre;
+    return m_state.hosts.inOwnCell(host) ? Distance::OwnCell : Distance::OtherCell;
+}
+
+std::set<HostId> BeatExchange::recipients(TimePoint now) const
+{
+    const HostDirectory& hosts = m_state.hosts;
+    const bool leadsCell = hosts.leadsCell(now);
+    const bool isLeader = leadsCell && hosts.isLeader(now);
+    std::set<HostId> recipients;
+    std::set<DataCentreId> dataCentres;
+    for (const auto& [id, host] : hosts.hosts()) {
+        if (hosts.inOwnCell(id))
+            recipients.insert(id);
+        else if (isLeader && host.registration.dataCentre != m_state.dataCentre)
+            dataCentres.insert(host.registration.dataCentre);
+    }
+    const auto add = [&](const std::vector<HostId>& added) { recipients.insert(added.begin(), added.end()); };
+    for (std::uint32_t cell = 0; leadsCell && cell < hosts.cells(); ++cell) {
+        if (cell != hosts.ownCell())
+            add(hosts.cellRecipients(cell, now));
+    }
+    for (const DataCentreId& dataCentre : dataCentres)
+        add(hosts.beatRecipients(dataCentre, now));
+    return recipients;
+}
+
 HostBeat BeatExchange::makeBeat(
-    Peer& peer, bool local, TimePoint now, Duration bootNow, bool leaving, const std::string& text)
+    const HostId& to, Peer& peer, TimePoint now, Duration bootNow, bool leaving, const std::string& text)
 {
     HostBeat beat;
     beat.sequence = ++peer.sent;
@@ -31,6 +64,7 @@
     beat.dataCentre = m_state.dataCentre;
     beat.address = m_state.address;
     beat.leaving = leaving;
+    beat.cells = m_state.hosts.cells();
     beat.configuration = m_state.configuration.version();
     beat.proofAge = std::max(Duration(0), bootNow - m_state.configuration.provenAt());
     if (peer.wantsConfiguration && peer.configuration < beat.configuration && now >= m_nextConfigurationCopyAt
@@ -39,20 +73,48 @@
         peer.configurationSentAt = now;
         m_nextConfigurationCopyAt = now + configurationCopyInterval;
     }
-    beat.load = local ? m_state.ledger.own() : m_state.ledger.dataCentreTotal();
-    if (!local)
-        return beat;
+    addLoads(beat, distance(to), now);
+    addSuspicions(beat, distance(to), now);
+    return beat;
+}
+
+void BeatExchange::addLoads(HostBeat& beat, Distance to, TimePoint now) const
+{
+    if (to == Distance::OtherDataCentre) {
+        beat.load = m_state.ledger.dataCentreTotal();
+        return;
+    }
+    const bool leadsCell = m_state.hosts.leadsCell(now);
+    beat.load = to == Distance::OwnCell ? m_state.ledger.own() : m_state.ledger.cellTotal();
+    beat.cellLeader = leadsCell;
+    if (to == Distance::OwnCell && leadsCell)
+        beat.otherCells = m_state.ledger.cellsTotal();
     for (const auto& [dataCentre, load] : m_state.ledger.remote()) {
-        // Forwards only loads received directly from that data centre, so that old loads don't circulate.
-        if (const auto beatAt = m_remoteBeatAt.find(dataCentre);
-            beatAt != m_remoteBeatAt.end() && now - beatAt->second < remoteBeatPeriod * 3)
+        // Loads go from the leader that received them to the other cells and from there to their hosts, so that old
+        // loads don't circulate.
+        const auto isRecent = [&](const std::map<DataCentreId, TimePoint>& times) {
+            const auto at = times.find(dataCentre);
+            return at != times.end() && now - at->second < remoteBeatPeriod * 3;
+        };
+        if (isRecent(m_remoteBeatAt) || (to == Distance::OwnCell && leadsCell && isRecent(m_remoteRelayAt)))
             beat.remote.push_back({ dataCentre, load });
     }
+}
+
+void BeatExchange::addSuspicions(HostBeat& beat, Distance to, TimePoint now) const
+{
+    if (to == Distance::OtherDataCentre)
+        return;
     for (const auto& [id, runner] : m_state.runners.runners()) {
         if (runner.markedDeadLocally && now < runner.suspendedUntil)
             beat.suspicions.push_back({ id, runner.suspendedUntil - now });
     }
-    return beat;
+    if (!m_state.hosts.leadsCell(now))
+        return;
+    for (const auto& [id, suspicion] : m_relayedSuspicions) {
+        if (suspicion.from != to && now < suspicion.until)
+            beat.suspicions.push_back({ id, suspicion.until - now });
+    }
 }
 
 std::vector<BeatExchange::Outgoing> BeatExchange::dueBeats(
@@ -60,23 +122,15 @@
 {
     m_state.hosts.expire(now);
     removeSilentPeers(now);
-    const bool isLeader = m_state.hosts.isLeader(now);
+    removeSilentCells(now);
     std::vector<Outgoing> beats;
-    for (const auto& [id, host] : m_state.hosts.hosts()) {
-        const DataCentreId& dataCentre = host.registration.dataCentre;
-        const bool local = dataCentre == m_state.dataCentre;
-        if (!local) {
-            const std::vector<HostId> recipients
-                = isLeader ? m_state.hosts.beatRecipients(dataCentre, now) : std::vector<HostId>();
-            if (std::find(recipients.begin(), recipients.end(), id) == recipients.end())
-                continue;
-        }
+    for (const HostId& id : recipients(now)) {
         Peer& peer = m_peers[id];
         if (now < peer.nextBeatAt)
             continue;
-        peer.nextBeatAt = now + (local ? localBeatPeriod : remoteBeatPeriod);
-        beats.push_back(
-            { id, host.registration.address, makeBeat(peer, local, now, bootNow, leaving, configurationText) });
+        peer.nextBeatAt = now + (m_state.hosts.isLocal(id) ? localBeatPeriod : remoteBeatPeriod);
+        const std::string& address = m_state.hosts.hosts().at(id).registration.address;
+        beats.push_back({ id, address, makeBeat(id, peer, now, bootNow, leaving, configurationText) });
     }
     requestConfiguration(beats, now);
     return beats;
@@ -116,14 +170,12 @@
 {
     for (auto peer = m_peers.begin(); peer != m_peers.end();) {
         const bool listed = m_state.hosts.hosts().contains(peer->first);
-        if (listed && m_state.hosts.alive(peer->first, now)) {
-            ++peer;
-            continue;
-        }
         // The requests of a dead host end when its connections close, so its load no longer counts.
-        m_state.ledger.removePeer(peer->first);
+        if (!listed || !m_state.hosts.inOwnCell(peer->first) || !m_state.hosts.alive(peer->first, now))
+            m_state.ledger.removePeer(peer->first);
         peer = listed ? std::next(peer) : m_peers.erase(peer);
     }
+    std::erase_if(m_relayedSuspicions, [&](const auto& suspicion) { return now >= suspicion.second.until; });
     std::vector<DataCentreId> silent;
     for (const auto& [dataCentre, load] : m_state.ledger.remote()) {
         if (!m_state.hosts.remoteAlive(dataCentre, now))
@@ -133,26 +185,65 @@
         m_state.ledger.removeRemote(dataCentre);
 }
 
+void BeatExchange::removeSilentCells(TimePoint now)
+{
+    const bool leadsCell = m_state.hosts.leadsCell(now);
+    const bool sameCells = m_cells == m_state.hosts.cells();
+    m_cells = m_state.hosts.cells();
+    std::erase_if(m_cellBeatAt, [&](const auto& cell) {
+        const bool removed = !leadsCell || !sameCells || now - cell.second >= cellLoadTimeout;
+        if (removed)
+            m_state.ledger.removeCell(cell.first);
+        return removed;
+    });
+    if (leadsCell || now - m_otherCellsAt >= cellLoadTimeout)
+        m_state.ledger.setOtherCells({});
+}
+
+void BeatExchange::receiveLoads(const HostId& from, HostBeat& beat, TimePoint now)
+{
+    const Distance distance = this->distance(from);
+    if (distance == Distance::OtherDataCentre) {
+        m_state.ledger.setRemote(beat.dataCentre, std::move(beat.load));
+        m_state.hosts.recordRemoteBeat(beat.dataCentre, now);
+        m_remoteBeatAt[beat.dataCentre] = now;
+        return;
+    }
+    for (DataCentreLoad& remote : beat.remote) {
+        m_state.ledger.setRemote(remote.dataCentre, std::move(remote.load));
+        m_state.hosts.recordRemoteBeat(remote.dataCentre, now);
+        if (distance == Distance::OtherCell)
+            m_remoteRelayAt[remote.dataCentre] = now;
+    }
+    // Hosts that know other numbers of hosts for a moment disagree on the cells.
+    if (beat.cells != m_state.hosts.cells())
+        return;
+    if (distance == Distance::OwnCell) {
+        m_state.ledger.setPeer(from, std::move(beat.load));
+        if (beat.cellLeader && !m_state.hosts.leadsCell(now)) {
+            m_state.ledger.setOtherCells(std::move(beat.otherCells));
+            m_otherCellsAt = now;
+        }
+    } else if (m_state.hosts.leadsCell(now)) {
+        const std::uint32_t cell = cellOf(from, beat.cells);
+        m_state.ledger.setCell(cell, std::move(beat.load));
+        m_cellBeatAt[cell] = now;
+    }
+}
+
 std::optional<BeatExchange::ConfigurationUpdate> BeatExchange::receive(const HostId& from, HostBeat beat, TimePoint now)
 {
     Peer& peer = m_peers[from];
     peer.received = beat.sequence;
     peer.configuration = beat.configuration;
     peer.wantsConfiguration = beat.configurationWanted;
-    const bool local = beat.dataCentre == m_state.dataCentre;
     m_state.hosts.recordBeat({ from, beat.dataCentre, beat.address }, beat.leaving, now);
-    if (local) {
-        m_state.ledger.setPeer(from, std::move(beat.load));
-        for (DataCentreLoad& remote : beat.remote) {
-            m_state.ledger.setRemote(remote.dataCentre, std::move(remote.load));
-            m_state.hosts.recordRemoteBeat(remote.dataCentre, now);
-        }
-        for (const RunnerSuspicion& suspicion : beat.suspicions)
+    receiveLoads(from, beat, now);
+    if (m_state.hosts.isLocal(from)) {
+        for (const RunnerSuspicion& suspicion : beat.suspicions) {
             m_state.runners.markDeadByPeer(suspicion.runner, now, suspicion.left);
-    } else {
-        m_state.ledger.setRemote(beat.dataCentre, std::move(beat.load));
-        m_state.hosts.recordRemoteBeat(beat.dataCentre, now);
-        m_remoteBeatAt[beat.dataCentre] = now;
+            m_relayedSuspicions[suspicion.runner] = { now + suspicion.left, distance(from) };
+        }
     }
     // The peer sent this beat after it had received the echoed one, so its configuration was the newest no earlier than
     // the echoed beat was sent, less the stated age of the proof. The time is one of this host's own clock.
--- a/packages/core/fuchsialb/src/Fleet/BeatExchange.h
+++ b/packages/core/fuchsialb/src/Fleet/BeatExchange.h
@@ -2,21 +2,25 @@
 
 #include "ConfigurationInForce.h"
 #include "HostBeat.h"
+#include "HostCells.h"
 #include "HostDirectory.h"
 #include "RunnerDirectory.h"
 
 #include <array>
 #include <map>
 #include <optional>
+#include <set>
 
 namespace fuchsialb {
 
 /// \brief Creates the heartbeats ("beats") to other hosts and processes received ones.
 ///
-/// All hosts of a data centre exchange beats. Between data centres only the leaders do, with the total load of their
-/// data centre, since traffic between data centres is expensive. Beats carry the load (so that all hosts admit against
-/// the same total), runners found dead (so that other hosts needn't detect them by failed requests), and the proof
-/// that a configuration is the newest (so that a host cut off from the store can still trust its configuration).
+/// All hosts of a cell exchange beats. Between the cells of a data centre only the leaders of the cells do, with the
+/// total load of their cell, so that the beats of a host grow with the square root of the hosts. Between data centres
+/// only the leaders of the data centres do, with the total load of their data centre, since traffic between data
+/// centres is expensive. Beats carry the load (so that all hosts admit against the same total), runners found dead (so
+/// that other hosts needn't detect them by failed requests), and the proof that a configuration is the newest (so that
+/// a host cut off from the store can still trust its configuration).
 ///
 /// A host that learns of a newer configuration and doesn't get it from the store asks one other host at a time for a
 /// copy. Each host sends one copy at a time, so that copies take a bounded part of its link.
@@ -76,8 +80,29 @@
         TimePoint configurationSentAt {};
     };
 
-    HostBeat makeBeat(Peer& peer, bool local, TimePoint now, Duration bootNow, bool leaving, const std::string& text);
+    enum class Distance : unsigned char {
+        OwnCell,
+        OtherCell,
+        OtherDataCentre,
+    };
+
+    /// A runner that another host found dead, and where that host is.
+    struct RelayedSuspicion {
+        TimePoint until {};
+        Distance from = Distance::OwnCell;
+    };
+
+    Distance distance(const HostId& host) const;
+    /// \return The hosts that this one sends beats to.
+    std::set<HostId> recipients(TimePoint now) const;
+    HostBeat makeBeat(
+        const HostId& to, Peer& peer, TimePoint now, Duration bootNow, bool leaving, const std::string& text);
+    void addLoads(HostBeat& beat, Distance to, TimePoint now) const;
+    void addSuspicions(HostBeat& beat, Distance to, TimePoint now) const;
+    void receiveLoads(const HostId& from, HostBeat& beat, TimePoint now);
     void removeSilentPeers(TimePoint now);
+    /// Removes loads of other cells that are out of date or no longer come this way.
+    void removeSilentCells(TimePoint now);
     /// Asks one of the recipients for a copy of its newer configuration, if this host doesn't get it from the store.
     void requestConfiguration(std::vector<Outgoing>& beats, TimePoint now);
 
@@ -85,6 +110,15 @@
     std::map<HostId, Peer> m_peers;
     /// Arrival of the last beat from each other data centre.
     std::map<DataCentreId, TimePoint> m_remoteBeatAt;
+    /// Arrival of the last load of each other data centre through another cell.
+    std::map<DataCentreId, TimePoint> m_remoteRelayAt;
+    /// Arrival of the last load of each other cell.
+    std::map<std::uint32_t, TimePoint> m_cellBeatAt;
+    /// Number of cells that the indices in `m_cellBeatAt` refer to.
+    std::uint32_t m_cells = 1;
+    /// Arrival of the last load of all other cells through the leader of this one.
+    TimePoint m_otherCellsAt {};
+    std::map<EndpointId, RelayedSuspicion> m_relayedSuspicions;
     /// Since when other hosts are known to have a newer configuration than this one.
     std::optional<TimePoint> m_outdatedSince;
     /// The host that is asked for a copy of the configuration, and until when.
--- a/packages/core/fuchsialb/src/Fleet/HostBeat.h
+++ b/packages/core/fuchsialb/src/Fleet/HostBeat.h
@@ -46,8 +46,15 @@
     std::string configurationText;
     /// The sender asks the receiver for the text of its newer configuration.
     bool configurationWanted = false;
-    /// Load from the sender or, in a beat to another data centre, from all hosts of the sender's data centre.
+    /// Number of cells of the sender's data centre as known to the sender.
+    std::uint32_t cells = 1;
+    /// Load from the sender; in a beat to another cell, from all hosts of the sender's cell; in a beat to another data
+    /// centre, from all hosts of the sender's data centre.
     LoadTable load;
+    /// The sender leads its cell.
+    bool cellLeader = false;
+    /// Load from the other cells of the data centre; empty unless the leader of a cell sends it to its cell.
+    LoadTable otherCells;
     /// Loads that the sender received from other data centres; empty in a beat to another data centre.
     std::vector<DataCentreLoad> remote;
     std::vector<RunnerSuspicion> suspicions;
--- a/packages/core/fuchsialb/src/Fleet/HostDirectory.cpp
+++ b/packages/core/fuchsialb/src/Fleet/HostDirectory.cpp
@@ -1,6 +1,9 @@
 #include "HostDirectory.h"
 
+#include "HostCells.h"
+
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace fuchsialb {
@@ -19,10 +22,15 @@
 
 void HostDirectory::replaceAll(const std::vector<RegisteredHost>& hosts, TimePoint now)
 {
-    for (auto& [id, host] : m_hosts)
-        host.registered = false;
-    for (const RegisteredHost& host : hosts)
+    std::set<HostId> listed;
+    for (const RegisteredHost& host : hosts) {
         put(host, now);
+        listed.insert(host.host);
+    }
+    for (const auto& [id, host] : m_hosts) {
+        if (!listed.contains(id))
+            unregister(id, now);
+    }
 }
 
 void HostDirectory::put(const RegisteredHost& host, TimePoint now)
@@ -36,29 +44,82 @@
     }
     known.registration = host;
     known.registered = true;
+    updateCells();
 }
 
-void HostDirectory::unregister(const HostId& host)
+void HostDirectory::unregister(const HostId& host, TimePoint now)
 {
-    if (const auto found = m_hosts.find(host); found != m_hosts.end())
-        found->second.registered = false;
+    const auto found = m_hosts.find(host);
+    if (found == m_hosts.end() || !found->second.registered)
+        return;
+    found->second.registered = false;
+    found->second.unregisteredAt = now;
 }
 
 void HostDirectory::recordBeat(const RegisteredHost& host, bool leaving, TimePoint now)
 {
     Host& known = m_hosts[host.host];
-    if (known.registration != host)
-        known.addedAt = now;
-    known.registration = host;
-    known.leaving = leaving;
+    const bool changed = known.registration != host;
     known.lastBeatAt = now;
+    known.leaving = leaving;
+    if (!changed)
+        return;
+    known.addedAt = now;
+    known.registration = host;
+    updateCells();
 }
 
 void HostDirectory::expire(TimePoint now)
 {
-    std::erase_if(m_hosts, [&](const auto& item) {
-        return !item.second.registered && now - item.second.lastBeatAt >= unregisteredHostTimeout;
+    const std::size_t removed = std::erase_if(m_hosts, [&](const auto& item) {
+        const Host& host = item.second;
+        return !host.registered && now - std::max(host.lastBeatAt, host.unregisteredAt) >= unregisteredHostTimeout;
     });
+    if (removed > 0)
+        updateCells();
+}
+
+void HostDirectory::updateCells()
+{
+    const auto local = std::count_if(m_hosts.begin(), m_hosts.end(),
+        [&](const auto& item) { return item.second.registration.dataCentre == m_dataCentre; });
+    m_cells = cellCount(static_cast<std::size_t>(local) + 1);
+    m_ownCell = cellOf(m_self, m_cells);
+    for (auto& [id, host] : m_hosts)
+        host.cell = cellOf(id, m_cells);
+}
+
+bool HostDirectory::isLocal(const HostId& host) const
+{
+    const auto found = m_hosts.find(host);
+    return host == m_self || (found != m_hosts.end() && found->second.registration.dataCentre == m_dataCentre);
+}
+
+bool HostDirectory::inOwnCell(const HostId& host) const
+{
+    const auto found = m_hosts.find(host);
+    return host == m_self
+        || (found != m_hosts.end() && found->second.registration.dataCentre == m_dataCentre
+            && found->second.cell == m_ownCell);
+}
+
+bool HostDirectory::leadsCell(TimePoint now) const
+{
+    return std::none_of(m_hosts.begin(), m_hosts.lower_bound(m_self),
+        [&](const auto& item) { return !item.second.leaving && inOwnCell(item.first) && alive(item.first, now); });
+}
+
+std::vector<HostId> HostDirectory::cellRecipients(std::uint32_t cell, TimePoint now) const
+{
+    std::vector<HostId> hosts;
+    for (const auto& [id, host] : m_hosts) {
+        if (host.registration.dataCentre != m_dataCentre || host.leaving || host.cell != cell)
+            continue;
+        if (now - host.lastBeatAt < beatTimeout)
+            return { id };
+        hosts.push_back(id);
+    }
+    return hosts;
 }
 
 bool HostDirectory::alive(const HostId& host, TimePoint now) const
--- a/packages/core/fuchsialb/src/Fleet/HostDirectory.h
+++ b/packages/core/fuchsialb/src/Fleet/HostDirectory.h
@@ -3,6 +3,7 @@
 #include "../Base/Clock.h"
 #include "../Base/Ids.h"
 
+#include <cstdint>
 #include <map>
 #include <string>
 #include <vector>
@@ -24,6 +25,10 @@
 /// Registrations expire while the store is down or a data centre is partitioned from it, and dead hosts stay registered
 /// for a while. Registrations therefore only tell the addresses of hosts; liveness depends on beats alone once a host
 /// had time to send its first one.
+///
+/// The hosts of a large data centre are divided into cells. All hosts of a cell exchange beats, and the leader of each
+/// cell, its live host with the lowest id, exchanges beats with the leaders of the other cells. The leader of the data
+/// centre is thus the cell leader with the lowest id, and hears of all hosts that have a lower one.
 class HostDirectory {
 public:
     HostDirectory(HostId self, DataCentreId dataCentre)
@@ -35,20 +40,23 @@
     /// Replaces all registrations by those of a complete listing.
     void replaceAll(const std::vector<RegisteredHost>& hosts, TimePoint now);
     void put(const RegisteredHost& host, TimePoint now);
-    /// Records that the registration has ended; the host is kept as long as its beats arrive.
-    void unregister(const HostId& host);
+    /// Records that the registration has ended; the host is kept for a while, and as long as its beats arrive.
+    void unregister(const HostId& host, TimePoint now);
     /// \param leaving The host shuts down.
     void recordBeat(const RegisteredHost& host, bool leaving, TimePoint now);
     /// Records a beat from the leader of another data centre, received directly or through a host of this one.
     void recordRemoteBeat(const DataCentreId& dataCentre, TimePoint now) { m_remoteBeatAt[dataCentre] = now; }
-    /// Removes hosts that are unregistered and have sent no beat for a while.
+    /// Removes hosts that have been unregistered for a while and have sent no beat meanwhile.
     void expire(TimePoint now);
 
     struct Host {
         RegisteredHost registration;
+        /// Cell of a host of this data centre.
+        std::uint32_t cell = 0;
         bool registered = false;
         bool leaving = false;
         TimePoint addedAt {};
+        TimePoint unregisteredAt {};
         TimePoint lastBeatAt {};
     };
 
@@ -56,6 +64,16 @@
     /// \return Number of hosts, this one included, at least 1.
     std::size_t size() const { return m_hosts.size() + 1; }
     bool alive(const HostId& host, TimePoint now) const;
+    bool isLocal(const HostId& host) const;
+    /// \return Number of cells of this data centre, by its known hosts.
+    std::uint32_t cells() const { return m_cells; }
+    std::uint32_t ownCell() const { return m_ownCell; }
+    /// \return Whether a host belongs to the cell of this one, by id; false for hosts of other data centres.
+    bool inOwnCell(const HostId& host) const;
+    /// \return Whether this host has the lowest id among itself and the live hosts of its cell that aren't leaving.
+    bool leadsCell(TimePoint now) const;
+    /// \return The hosts of another cell to send beats to: its leader, or all its hosts while no beats arrive.
+    std::vector<HostId> cellRecipients(std::uint32_t cell, TimePoint now) const;
     /// \return The host that exchanges beats with other data centres: the lowest id among this host and the live hosts
     ///     of its data centre that aren't leaving.
     HostId leader(TimePoint now) const;
@@ -71,10 +89,14 @@
     bool remoteAlive(const DataCentreId& dataCentre, TimePoint now) const;
 
 private:
+    void updateCells();
+
     HostId m_self;
     DataCentreId m_dataCentre;
     /// All hosts but this one.
     std::map<HostId, Host> m_hosts;
+    std::uint32_t m_cells = 1;
+    std::uint32_t m_ownCell = 0;
     /// Arrival of the last beat of each other data centre.
     std::map<DataCentreId, TimePoint> m_remoteBeatAt;
 };
--- a/packages/core/fuchsialb/src/Fleet/LoadLedger.cpp
+++ b/packages/core/fuchsialb/src/Fleet/LoadLedger.cpp
@@ -59,6 +59,26 @@
         rebuildOthers();
 }
 
+void LoadLedger::setCell(std::uint32_t cell, LoadTable load)
+{
+    m_cells[cell] = std::move(load);
+    rebuildOthers();
+}
+
+void LoadLedger::removeCell(std::uint32_t cell)
+{
+    if (m_cells.erase(cell) > 0)
+        rebuildOthers();
+}
+
+void LoadLedger::setOtherCells(LoadTable load)
+{
+    if (m_otherCells.empty() && load.empty())
+        return;
+    m_otherCells = std::move(load);
+    rebuildOthers();
+}
+
 void LoadLedger::setRemote(const DataCentreId& dataCentre, LoadTable load)
 {
     m_remote[dataCentre] = std::move(load);
@@ -71,7 +91,7 @@
         rebuildOthers();
 }
 
-LoadTable LoadLedger::dataCentreTotal() const
+LoadTable LoadLedger::cellTotal() const
 {
     LoadTable sum = m_own;
     for (const auto& [host, table] : m_peers)
@@ -79,11 +99,29 @@
     return sum;
 }
 
+LoadTable LoadLedger::cellsTotal() const
+{
+    LoadTable sum;
+    for (const auto& [cell, table] : m_cells)
+        addLoads(sum, table);
+    return sum;
+}
+
+LoadTable LoadLedger::dataCentreTotal() const
+{
+    LoadTable sum = cellTotal();
+    addLoads(sum, cellsTotal());
+    addLoads(sum, m_otherCells);
+    return sum;
+}
+
 void LoadLedger::rebuildOthers()
 {
-    m_others.clear();
+    m_others = m_otherCells;
     for (const auto& [host, table] : m_peers)
         addLoads(m_others, table);
+    for (const auto& [cell, table] : m_cells)
+        addLoads(m_others, table);
     for (const auto& [dataCentre, table] : m_remote)
         addLoads(m_others, table);
 }
--- a/packages/core/fuchsialb/src/Fleet/LoadLedger.h
+++ b/packages/core/fuchsialb/src/Fleet/LoadLedger.h
@@ -53,14 +53,24 @@
     void release(const Path& path, double tokens);
 
     const LoadTable& own() const { return m_own; }
-    /// Replaces the load reported by another host of this data centre.
+    /// Replaces the load reported by another host of this cell.
     void setPeer(const HostId& host, LoadTable load);
     void removePeer(const HostId& host);
+    /// Replaces the total load of the hosts of another cell, which the leader of a cell gets from each other one.
+    void setCell(std::uint32_t cell, LoadTable load);
+    void removeCell(std::uint32_t cell);
+    /// Replaces the total load of all other cells, which the other hosts of a cell get from its leader.
+    void setOtherCells(LoadTable load);
     /// Replaces the total load of the hosts of another data centre.
     void setRemote(const DataCentreId& dataCentre, LoadTable load);
     void removeRemote(const DataCentreId& dataCentre);
+    /// \return Total load of all hosts of this cell.
+    LoadTable cellTotal() const;
+    /// \return Total load of the other cells that are known one by one.
+    LoadTable cellsTotal() const;
     /// \return Total load of all hosts of this data centre.
     LoadTable dataCentreTotal() const;
+    const std::map<std::uint32_t, LoadTable>& cells() const { return m_cells; }
     const std::map<DataCentreId, LoadTable>& remote() const { return m_remote; }
 
     RunnerLoad at(const EndpointId& runner) const;
@@ -70,6 +80,8 @@
 
     LoadTable m_own;
     std::map<HostId, LoadTable> m_peers;
+    std::map<std::uint32_t, LoadTable> m_cells;
+    LoadTable m_otherCells;
     std::map<DataCentreId, LoadTable> m_remote;
     /// Total load of all other hosts.
     LoadTable m_others;
--- a/packages/gateway/fuchsialb/src/Gateway/StoreSession.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/StoreSession.cpp
@@ -296,7 +296,7 @@
         }
         const HostId id(item.key.substr(std::min(item.key.size(), hostsPrefix.size())));
         if (item.removed) {
-            m_context.hosts.unregister(id);
+            m_context.hosts.unregister(id, now);
             LogLine line("host-unregistered");
             line.add("host", id.value()).add("as_of", static_cast<std::int64_t>(listing.asOf.value()));
             m_context.log.log(line);
--- a/packages/wire/fuchsialb/src/Wire/PeerMessageDecode.cpp
+++ b/packages/wire/fuchsialb/src/Wire/PeerMessageDecode.cpp
@@ -310,6 +310,9 @@
             = in.text(from.configuration_text(), internal::maxConfigurationBytes, "host_beat.configuration_text");
         to.configurationWanted = from.configuration_wanted();
         to.load = decodeLoads(in, from.load());
+        to.cells = from.cells();
+        to.cellLeader = from.cell_leader();
+        to.otherCells = decodeLoads(in, from.other_cells());
         in.require(from.remote_size() <= internal::maxRemoteLoads, "too many data centres");
         in.require(from.suspicions_size() <= internal::maxRunnerLoads, "too many suspicions");
         if (!in.status().ok())
--- a/packages/wire/fuchsialb/src/Wire/PeerMessageEncode.cpp
+++ b/packages/wire/fuchsialb/src/Wire/PeerMessageEncode.cpp
@@ -213,6 +213,9 @@
             to.set_configuration_text(from.configurationText);
             to.set_configuration_wanted(from.configurationWanted);
             encodeLoads(from.load, *to.mutable_load());
+            to.set_cells(from.cells);
+            to.set_cell_leader(from.cellLeader);
+            encodeLoads(from.otherCells, *to.mutable_other_cells());
             for (const DataCentreLoad& remote : from.remote) {
                 wire::DataCentreLoad& added = *to.add_remote();
                 added.set_data_centre(remote.dataCentre.value());
--- a/packages/wire/tests/support/PeerMessages.cpp
+++ b/packages/wire/tests/support/PeerMessages.cpp
@@ -64,6 +64,9 @@
         drawn.configurationText = raw(below);
         drawn.configurationWanted = below(2) == 1;
         drawn.load = loads(below);
+        drawn.cells = static_cast<std::uint32_t>(below(64));
+        drawn.cellLeader = below(2) == 1;
+        drawn.otherCells = loads(below);
         for (std::uint64_t i = below(3); i > 0; --i)
             drawn.remote.push_back({ DataCentreId(id(below)), loads(below) });
         for (std::uint64_t i = below(3); i > 0; --i)
