--- a/packages/core/fuchsialb/src/Fleet/HostDirectory.cpp
+++ b/packages/core/fuchsialb/src/Fleet/HostDirectory.cpp
@@ -38,12 +38,12 @@
     if (host.host == m_self)
         return;
     Host& known = m_hosts[host.host];
-    if (known.registration != host) {
-        known.addedAt = now;
-        known.leaving = false;
-    }
-    known.registration = host;
     known.registered = true;
+    if (known.registration == host)
+        return;
+    known.addedAt = now;
+    known.leaving = false;
+    known.registration = host;
     updateCells();
 }
 
