Renew the proof of the configuration every 1.5 s at the leader

Cause: a proof reaches a host over two beats more since hosts are divided into cells, up to 0.4 s each. Change: the leader's watch ends after 1.5 s. Before: 2.0 s and 0.6 s by beats in an undivided data centre. Conclusion: one more call of the store in six seconds for each data centre.

--- a/packages/gateway/fuchsialb/src/Gateway/StoreSession.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/StoreSession.cpp
@@ -22,8 +22,9 @@
     constexpr std::string_view sharedKeyPath = "fuchsialb/hosts/.key";
     constexpr int sharedKeyWordCount = 4;
     // The watch of the leading host proves that the configuration is still the newest, which that host tells the
-    // others. Its timeout must be well below the time for which API keys are accepted without such a proof.
-    constexpr Duration leaderWatchTimeout = std::chrono::milliseconds(2000);
+    // others. Its timeout and the time of the proof through the leaders of cells must add up to less than
+    // proofRefreshAge, or all hosts read the configuration by themselves.
+    constexpr Duration leaderWatchTimeout = std::chrono::milliseconds(1500);
     constexpr Duration defaultWatchTimeout = std::chrono::seconds(20);
     // Age of the last proof at which a host that got no newer one from its peers reads the store itself.
     constexpr Duration proofRefreshAge = std::chrono::milliseconds(3000);
