Keep loads and leaders of cells right while hosts stop or are cut off

Cause: a host didn't count its own leaving, and beats went to, and were accepted from, whichever host of a cell had a low id, not from its leader. Change: a leaving host leads only if no other host lives. Beats say who leads a cell; they go to all that do, and the load of the one with the lowest id counts. A new leader keeps the sum of its predecessor for 1.2 s and looks for the other leaders by beats to three hosts of each cell at a time. Hosts that know different numbers of hosts take each other's loads where they agree on the cell. Loads of other data centres are passed on with every third beat. Conclusion: takeover costs a bounded number of beats in any data centre.

--- a/packages/core/fuchsialb/src/Fleet/BeatExchange.cpp
+++ b/packages/core/fuchsialb/src/Fleet/BeatExchange.cpp
@@ -16,11 +16,16 @@
     constexpr Duration configurationReadTime = std::chrono::milliseconds(800);
     // Time in which a host sends the copy that it was asked for; another host is asked afterwards.
     constexpr Duration configurationSourceTime = std::chrono::milliseconds(600);
-    // Copies to several hosts follow each other at this distance, since one can take half of it on a slow link.
+    // Copies to several hosts follow each other at this interval, since one can take half of it on a slow link.
     constexpr Duration configurationCopyInterval = std::chrono::milliseconds(100);
 
     // Loads of other cells count for this long without a beat, like those of hosts.
     constexpr Duration cellLoadTimeout = std::chrono::milliseconds(1200);
+    // While two hosts say that they lead a cell, the load of the one with the lower id counts, unless it stays away for
+    // this long.
+    constexpr Duration leaderPrecedence = std::chrono::milliseconds(500);
+    // Loads of other data centres arrive every 500 ms, so only every third beat passes them on.
+    constexpr std::uint64_t remoteLoadBeats = 3;
 
 } // namespace
 
@@ -88,7 +93,9 @@
     beat.load = to == Distance::OwnCell ? m_state.ledger.own() : m_state.ledger.cellTotal();
     beat.cellLeader = leadsCell;
     if (to == Distance::OwnCell && leadsCell)
-        beat.otherCells = m_state.ledger.cellsTotal();
+        beat.otherCells = m_state.ledger.otherCellsTotal();
+    if (beat.sequence % remoteLoadBeats != 0)
+        return;
     for (const auto& [dataCentre, load] : m_state.ledger.remote()) {
         // Loads go from the leader that received them to the other cells and from there to their hosts, so that old
         // loads don't circulate.
@@ -120,6 +127,7 @@
 std::vector<BeatExchange::Outgoing> BeatExchange::dueBeats(
     TimePoint now, Duration bootNow, bool leaving, const std::string& configurationText)
 {
+    m_state.hosts.setLeaving(leaving);
     m_state.hosts.expire(now);
     removeSilentPeers(now);
     removeSilentCells(now);
@@ -187,19 +195,43 @@
 
 void BeatExchange::removeSilentCells(TimePoint now)
 {
-    const bool leadsCell = m_state.hosts.leadsCell(now);
     const bool sameCells = m_cells == m_state.hosts.cells();
     m_cells = m_state.hosts.cells();
     std::erase_if(m_cellBeatAt, [&](const auto& cell) {
-        const bool removed = !leadsCell || !sameCells || now - cell.second >= cellLoadTimeout;
+        const bool removed = !sameCells || now - cell.second >= cellLoadTimeout;
         if (removed)
             m_state.ledger.removeCell(cell.first);
         return removed;
     });
-    if (leadsCell || now - m_otherCellsAt >= cellLoadTimeout)
+    // A new leader uses the sum that its predecessor sent until then, while it hears of the other cells one by one.
+    if (!sameCells || now - m_otherCellsAt >= cellLoadTimeout)
         m_state.ledger.setOtherCells({});
 }
 
+void BeatExchange::receiveOtherCells(const HostId& from, HostBeat& beat, TimePoint now)
+{
+    const bool takesPrecedence = from == m_state.hosts.cellLeader(now) || now - m_otherCellsAt >= leaderPrecedence;
+    if (!beat.cellLeader || m_state.hosts.leadsCell(now) || !takesPrecedence)
+        return;
+    for (const auto& [cell, at] : std::exchange(m_cellBeatAt, {}))
+        m_state.ledger.removeCell(cell);
+    m_state.ledger.setOtherCells(std::move(beat.otherCells));
+    m_otherCellsAt = now;
+}
+
+void BeatExchange::receiveCell(const HostId& from, HostBeat& beat, TimePoint now)
+{
+    const std::uint32_t cell = cellOf(from, beat.cells);
+    const std::vector<HostId> leaders = m_state.hosts.leadersOf(cell, now);
+    const auto known = m_cellBeatAt.find(cell);
+    const bool takesPrecedence = (!leaders.empty() && leaders.front() == from) || known == m_cellBeatAt.end()
+        || now - known->second >= leaderPrecedence;
+    if (!m_state.hosts.leadsCell(now) || !takesPrecedence)
+        return;
+    m_state.ledger.setCell(cell, std::move(beat.load));
+    m_cellBeatAt[cell] = now;
+}
+
 void BeatExchange::receiveLoads(const HostId& from, HostBeat& beat, TimePoint now)
 {
     const Distance distance = this->distance(from);
@@ -215,20 +247,20 @@
         if (distance == Distance::OtherCell)
             m_remoteRelayAt[remote.dataCentre] = now;
     }
-    // Hosts that know other numbers of hosts for a moment disagree on the cells.
-    if (beat.cells != m_state.hosts.cells())
+    if (beat.cells != m_state.hosts.cells()) {
+        // Hosts that know different numbers of hosts disagree on the cells for a while.
+        if (distance == Distance::OwnCell && cellOf(from, beat.cells) == cellOf(m_state.self, beat.cells))
+            m_state.ledger.setPeer(from, std::move(beat.load));
+        else
+            m_state.ledger.removePeer(from);
+        return;
+    }
+    if (distance == Distance::OtherCell) {
+        receiveCell(from, beat, now);
         return;
-    if (distance == Distance::OwnCell) {
-        m_state.ledger.setPeer(from, std::move(beat.load));
-        if (beat.cellLeader && !m_state.hosts.leadsCell(now)) {
-            m_state.ledger.setOtherCells(std::move(beat.otherCells));
-            m_otherCellsAt = now;
-        }
-    } else if (m_state.hosts.leadsCell(now)) {
-        const std::uint32_t cell = cellOf(from, beat.cells);
-        m_state.ledger.setCell(cell, std::move(beat.load));
-        m_cellBeatAt[cell] = now;
     }
+    m_state.ledger.setPeer(from, std::move(beat.load));
+    receiveOtherCells(from, beat, now);
 }
 
 std::optional<BeatExchange::ConfigurationUpdate> BeatExchange::receive(const HostId& from, HostBeat beat, TimePoint now)
@@ -237,12 +269,14 @@
     peer.received = beat.sequence;
     peer.configuration = beat.configuration;
     peer.wantsConfiguration = beat.configurationWanted;
-    m_state.hosts.recordBeat({ from, beat.dataCentre, beat.address }, beat.leaving, now);
+    m_state.hosts.recordBeat({ from, beat.dataCentre, beat.address }, beat.leaving, beat.cellLeader, now);
     receiveLoads(from, beat, now);
     if (m_state.hosts.isLocal(from)) {
         for (const RunnerSuspicion& suspicion : beat.suspicions) {
             m_state.runners.markDeadByPeer(suspicion.runner, now, suspicion.left);
-            m_relayedSuspicions[suspicion.runner] = { now + suspicion.left, distance(from) };
+            RelayedSuspicion& relayed = m_relayedSuspicions[suspicion.runner];
+            if (relayed.until < now + suspicion.left)
+                relayed = { now + suspicion.left, distance(from) };
         }
     }
     // The peer sent this beat after it had received the echoed one, so its configuration was the newest no earlier than
--- a/packages/core/fuchsialb/src/Fleet/BeatExchange.h
+++ b/packages/core/fuchsialb/src/Fleet/BeatExchange.h
@@ -86,9 +86,10 @@
         OtherDataCentre,
     };
 
-    /// A runner that another host found dead, and where that host is.
+    /// A runner that another host found dead.
     struct RelayedSuspicion {
         TimePoint until {};
+        /// Where the finding came from; it is passed on to the other side only.
         Distance from = Distance::OwnCell;
     };
 
@@ -100,8 +101,12 @@
     void addLoads(HostBeat& beat, Distance to, TimePoint now) const;
     void addSuspicions(HostBeat& beat, Distance to, TimePoint now) const;
     void receiveLoads(const HostId& from, HostBeat& beat, TimePoint now);
+    /// Takes the load of all other cells from the leader of this one.
+    void receiveOtherCells(const HostId& from, HostBeat& beat, TimePoint now);
+    /// Takes the load of another cell from its leader.
+    void receiveCell(const HostId& from, HostBeat& beat, TimePoint now);
     void removeSilentPeers(TimePoint now);
-    /// Removes loads of other cells that are out of date or no longer come this way.
+    /// Removes loads of other cells that are out of date or that another host reports now.
     void removeSilentCells(TimePoint now);
     /// Asks one of the recipients for a copy of its newer configuration, if this host doesn't get it from the store.
     void requestConfiguration(std::vector<Outgoing>& beats, TimePoint now);
--- a/packages/core/fuchsialb/src/Fleet/HostCells.h
+++ b/packages/core/fuchsialb/src/Fleet/HostCells.h
@@ -7,8 +7,8 @@
 
 namespace fuchsialb {
 
-/// \return Number of cells into which the hosts of a data centre are divided: 1 for a few hosts, otherwise the power of
-///     two next to the square root of their number, so that it seldom changes when hosts come and go.
+/// \return Number of cells into which the hosts of a data centre are divided: 1 for up to 8 hosts, otherwise the lowest
+///     power of two that isn't below the square root of their number. It seldom changes when hosts come and go.
 std::uint32_t cellCount(std::size_t hosts);
 
 /// \return Index of the cell of a host, below `cells`, the same on every host.
--- a/packages/core/fuchsialb/src/Fleet/HostDirectory.cpp
+++ b/packages/core/fuchsialb/src/Fleet/HostDirectory.cpp
@@ -17,6 +17,10 @@
     // Beats from other data centres have a longer period.
     constexpr Duration remoteBeatTimeout = std::chrono::seconds(3);
     constexpr Duration unregisteredHostTimeout = std::chrono::seconds(10);
+    // A new leader of a cell looks for those of the others with so many beats at once to each cell, so that taking over
+    // costs no more in a large data centre.
+    constexpr std::size_t leaderlessRecipients = 3;
+    constexpr Duration leaderlessTurn = std::chrono::milliseconds(200);
 
 } // namespace
 
@@ -56,12 +60,13 @@
     found->second.unregisteredAt = now;
 }
 
-void HostDirectory::recordBeat(const RegisteredHost& host, bool leaving, TimePoint now)
+void HostDirectory::recordBeat(const RegisteredHost& host, bool leaving, bool leadsCell, TimePoint now)
 {
     Host& known = m_hosts[host.host];
     const bool changed = known.registration != host;
     known.lastBeatAt = now;
     known.leaving = leaving;
+    known.leadsCell = leadsCell;
     if (!changed)
         return;
     known.addedAt = now;
@@ -103,22 +108,51 @@
             && found->second.cell == m_ownCell);
 }
 
-bool HostDirectory::leadsCell(TimePoint now) const
+HostId HostDirectory::lowestLive(const std::function<bool(const Host&)>& eligible, TimePoint now) const
 {
-    return std::none_of(m_hosts.begin(), m_hosts.lower_bound(m_self),
-        [&](const auto& item) { return !item.second.leaving && inOwnCell(item.first) && alive(item.first, now); });
+    for (const auto& [id, host] : m_hosts) {
+        if (m_self < id && !m_leaving)
+            break;
+        if (!host.leaving && eligible(host) && alive(id, now))
+            return id;
+    }
+    return m_self;
+}
+
+HostId HostDirectory::cellLeader(TimePoint now) const
+{
+    return lowestLive(
+        [this](const Host& host) { return host.registration.dataCentre == m_dataCentre && host.cell == m_ownCell; },
+        now);
+}
+
+std::vector<HostId> HostDirectory::leadersOf(std::uint32_t cell, TimePoint now) const
+{
+    std::vector<HostId> leaders;
+    for (const auto& [id, host] : m_hosts) {
+        const bool inCell = host.registration.dataCentre == m_dataCentre && host.cell == cell;
+        if (inCell && host.leadsCell && !host.leaving && now - host.lastBeatAt < beatTimeout)
+            leaders.push_back(id);
+    }
+    return leaders;
 }
 
 std::vector<HostId> HostDirectory::cellRecipients(std::uint32_t cell, TimePoint now) const
 {
+    std::vector<HostId> leaders = leadersOf(cell, now);
+    if (!leaders.empty())
+        return leaders;
     std::vector<HostId> hosts;
     for (const auto& [id, host] : m_hosts) {
-        if (host.registration.dataCentre != m_dataCentre || host.leaving || host.cell != cell)
-            continue;
-        if (now - host.lastBeatAt < beatTimeout)
-            return { id };
-        hosts.push_back(id);
+        if (host.registration.dataCentre == m_dataCentre && host.cell == cell && !host.leaving)
+            hosts.push_back(id);
     }
+    if (hosts.size() <= leaderlessRecipients)
+        return hosts;
+    const auto turn = static_cast<std::size_t>(now.time_since_epoch() / leaderlessTurn);
+    const std::size_t first = turn * leaderlessRecipients % hosts.size();
+    std::rotate(hosts.begin(), hosts.begin() + static_cast<std::ptrdiff_t>(first), hosts.end());
+    hosts.resize(leaderlessRecipients);
     return hosts;
 }
 
@@ -135,13 +169,7 @@
 
 HostId HostDirectory::leader(TimePoint now) const
 {
-    HostId lowest = m_self;
-    for (const auto& [id, host] : m_hosts) {
-        const bool eligible = host.registration.dataCentre == m_dataCentre && !host.leaving && alive(id, now);
-        if (eligible && id < lowest)
-            lowest = id;
-    }
-    return lowest;
+    return lowestLive([this](const Host& host) { return host.registration.dataCentre == m_dataCentre; }, now);
 }
 
 std::vector<HostId> HostDirectory::beatRecipients(const DataCentreId& dataCentre, TimePoint now) const
--- a/packages/core/fuchsialb/src/Fleet/HostDirectory.h
+++ b/packages/core/fuchsialb/src/Fleet/HostDirectory.h
@@ -4,6 +4,7 @@
 #include "../Base/Ids.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -43,7 +44,10 @@
     /// Records that the registration has ended; the host is kept for a while, and as long as its beats arrive.
     void unregister(const HostId& host, TimePoint now);
     /// \param leaving The host shuts down.
-    void recordBeat(const RegisteredHost& host, bool leaving, TimePoint now);
+    /// \param leadsCell The host says that it leads its cell.
+    void recordBeat(const RegisteredHost& host, bool leaving, bool leadsCell, TimePoint now);
+    /// Records whether this host shuts down; it then leads only if there is no other live host.
+    void setLeaving(bool leaving) { m_leaving = leaving; }
     /// Records a beat from the leader of another data centre, received directly or through a host of this one.
     void recordRemoteBeat(const DataCentreId& dataCentre, TimePoint now) { m_remoteBeatAt[dataCentre] = now; }
     /// Removes hosts that have been unregistered for a while and have sent no beat meanwhile.
@@ -55,6 +59,7 @@
         std::uint32_t cell = 0;
         bool registered = false;
         bool leaving = false;
+        bool leadsCell = false;
         TimePoint addedAt {};
         TimePoint unregisteredAt {};
         TimePoint lastBeatAt {};
@@ -70,9 +75,14 @@
     std::uint32_t ownCell() const { return m_ownCell; }
     /// \return Whether a host belongs to the cell of this one, by id; false for hosts of other data centres.
     bool inOwnCell(const HostId& host) const;
-    /// \return Whether this host has the lowest id among itself and the live hosts of its cell that aren't leaving.
-    bool leadsCell(TimePoint now) const;
-    /// \return The hosts of another cell to send beats to: its leader, or all its hosts while no beats arrive.
+    /// \return The lowest id among this host and the live hosts of its cell that aren't leaving.
+    HostId cellLeader(TimePoint now) const;
+    bool leadsCell(TimePoint now) const { return cellLeader(now) == m_self; }
+    /// \return The hosts of another cell whose recent beats say that they lead it, ordered; several for a while, or as
+    ///     long as hosts of that cell don't hear each other.
+    std::vector<HostId> leadersOf(std::uint32_t cell, TimePoint now) const;
+    /// \return The hosts of another cell to send beats to: its leaders or, while none is known, a few of its hosts by
+    ///     turns.
     std::vector<HostId> cellRecipients(std::uint32_t cell, TimePoint now) const;
     /// \return The host that exchanges beats with other data centres: the lowest id among this host and the live hosts
     ///     of its data centre that aren't leaving.
@@ -90,6 +100,8 @@
 
 private:
     void updateCells();
+    /// \return The lowest id among this host and the known hosts that `eligible` accepts, live and not leaving.
+    HostId lowestLive(const std::function<bool(const Host&)>& eligible, TimePoint now) const;
 
     HostId m_self;
     DataCentreId m_dataCentre;
@@ -97,6 +109,7 @@
     std::map<HostId, Host> m_hosts;
     std::uint32_t m_cells = 1;
     std::uint32_t m_ownCell = 0;
+    bool m_leaving = false;
     /// Arrival of the last beat of each other data centre.
     std::map<DataCentreId, TimePoint> m_remoteBeatAt;
 };
--- a/packages/core/fuchsialb/src/Fleet/LoadLedger.cpp
+++ b/packages/core/fuchsialb/src/Fleet/LoadLedger.cpp
@@ -99,8 +99,10 @@
     return sum;
 }
 
-LoadTable LoadLedger::cellsTotal() const
+LoadTable LoadLedger::otherCellsTotal() const
 {
+    if (!m_otherCells.empty())
+        return m_otherCells;
     LoadTable sum;
     for (const auto& [cell, table] : m_cells)
         addLoads(sum, table);
@@ -110,18 +112,15 @@
 LoadTable LoadLedger::dataCentreTotal() const
 {
     LoadTable sum = cellTotal();
-    addLoads(sum, cellsTotal());
-    addLoads(sum, m_otherCells);
+    addLoads(sum, otherCellsTotal());
     return sum;
 }
 
 void LoadLedger::rebuildOthers()
 {
-    m_others = m_otherCells;
+    m_others = otherCellsTotal();
     for (const auto& [host, table] : m_peers)
         addLoads(m_others, table);
-    for (const auto& [cell, table] : m_cells)
-        addLoads(m_others, table);
     for (const auto& [dataCentre, table] : m_remote)
         addLoads(m_others, table);
 }
--- a/packages/core/tests/FleetCellsTest.cpp
+++ b/packages/core/tests/FleetCellsTest.cpp
@@ -74,6 +74,35 @@
             CHECK(hostsWithCache(dataCentre, 3500) == hostCount - 1);
         }
 
+        SECTION("also at each moment while the leader of a cell shuts down")
+        {
+            dataCentre.stop(cellLeader(dataCentre, dataCentre.hosts.back()->directory));
+            for (int i = 0; i < 60; ++i) {
+                CAPTURE(i);
+                dataCentre.step();
+                CHECK(hostsWithCache(dataCentre, 3600) == hostCount);
+            }
+        }
+
+        SECTION("also while the second host of a cell doesn't hear the first")
+        {
+            const HostId first = cellLeader(dataCentre, dataCentre.hosts.back()->directory);
+            const std::vector<Host*> living = dataCentre.living();
+            const auto second = std::find_if(living.begin(), living.end(), [&](const Host* host) {
+                return first < host->id && dataCentre.hosts.back()->directory.inOwnCell(host->id);
+            });
+            REQUIRE(second != living.end());
+            dataCentre.cut(first, (*second)->id);
+            dataCentre.run(3s);
+            // The second lacks the load of the first only.
+            for (int i = 0; i < 30; ++i) {
+                dataCentre.step();
+                CHECK(hostsWithCache(dataCentre, 3600) == hostCount - 1);
+                CHECK(hostsWithCache(dataCentre, 3500) == 1);
+                CHECK(leaders(dataCentre).size() == 1);
+            }
+        }
+
         SECTION("also when several die at once and the cells change")
         {
             for (std::size_t i = 0; i < 24; ++i)
@@ -126,7 +155,7 @@
             CHECK(host->configuration.provenAt() >= provenAt - 1s);
     }
 
-    SECTION("expired registrations have no effect while beats arrive")
+    SECTION("registrations that lapse for less than ten seconds have no effect")
     {
         for (const auto& host : dataCentre.hosts)
             host->directory.replaceAll({}, dataCentre.now);
--- a/packages/core/tests/support/FleetDataCentre.cpp
+++ b/packages/core/tests/support/FleetDataCentre.cpp
@@ -30,10 +30,11 @@
 {
     for (Host* from : living()) {
         std::size_t copiesAtOnce = 0;
-        for (const auto& outgoing : from->beats.dueBeats(now, now.time_since_epoch(), false, "text")) {
+        for (const auto& outgoing :
+            from->beats.dueBeats(now, now.time_since_epoch(), m_stopping.contains(from->id), "text")) {
             copiesAtOnce += outgoing.beat.configurationText.empty() ? 0 : 1;
             ++messages[from->id];
-            if (!isAlive(outgoing.to))
+            if (!isAlive(outgoing.to) || m_cuts.contains({ from->id, outgoing.to }))
                 continue;
             ++messages[outgoing.to];
             Host& to = *m_byId.at(outgoing.to);
--- a/packages/core/tests/support/FleetDataCentre.h
+++ b/packages/core/tests/support/FleetDataCentre.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <set>
+#include <utility>
 #include <vector>
 
 namespace fuchsialb::test {
@@ -52,6 +53,10 @@
     /// Ends a host without notice.
     void kill(const HostId& id) { m_dead.insert(id); }
     bool isAlive(const HostId& id) const { return !m_dead.contains(id); }
+    /// Lets a host announce that it shuts down, while it goes on.
+    void stop(const HostId& id) { m_stopping.insert(id); }
+    /// Drops all beats from one host to another.
+    void cut(const HostId& from, const HostId& to) { m_cuts.emplace(from, to); }
     /// \return The living hosts.
     std::vector<Host*> living() const;
     void run(Duration time);
@@ -60,6 +65,8 @@
 private:
     std::map<HostId, Host*> m_byId;
     std::set<HostId> m_dead;
+    std::set<HostId> m_stopping;
+    std::set<std::pair<HostId, HostId>> m_cuts;
 };
 
 } // namespace fuchsialb::test
--- a/packages/wire/fuchsialb/src/Wire/PeerMessageDecode.cpp
+++ b/packages/wire/fuchsialb/src/Wire/PeerMessageDecode.cpp
@@ -310,7 +310,8 @@
             = in.text(from.configuration_text(), internal::maxConfigurationBytes, "host_beat.configuration_text");
         to.configurationWanted = from.configuration_wanted();
         to.load = decodeLoads(in, from.load());
-        to.cells = from.cells();
+        // Hosts of a build without cells don't tell a number.
+        to.cells = std::max(1U, from.cells());
         to.cellLeader = from.cell_leader();
         to.otherCells = decodeLoads(in, from.other_cells());
         in.require(from.remote_size() <= internal::maxRemoteLoads, "too many data centres");
--- a/packages/wire/tests/support/PeerMessages.cpp
+++ b/packages/wire/tests/support/PeerMessages.cpp
@@ -64,7 +64,7 @@
         drawn.configurationText = raw(below);
         drawn.configurationWanted = below(2) == 1;
         drawn.load = loads(below);
-        drawn.cells = static_cast<std::uint32_t>(below(64));
+        drawn.cells = 1 + static_cast<std::uint32_t>(below(64));
         drawn.cellLeader = below(2) == 1;
         drawn.otherCells = loads(below);
         for (std::uint64_t i = below(3); i > 0; --i)
