--- a/packages/core/fuchsialb/src/Fleet/BeatExchange.cpp
+++ b/packages/core/fuchsialb/src/Fleet/BeatExchange.cpp
@@ -96,15 +96,16 @@
         beat.otherCells = m_state.ledger.otherCellsTotal();
     if (beat.sequence % remoteLoadBeats != 0)
         return;
-    for (const auto& [dataCentre, load] : m_state.ledger.remote()) {
-        // Loads go from the leader that received them to the other cells and from there to their hosts, so that old
-        // loads don't circulate.
+    // Loads go from the leader that received them to the other cells and from there to their hosts, so that old loads
+    // don't circulate.
+    const bool passesOnRelayed = to == Distance::OwnCell && leadsCell;
+    for (const auto& remote : m_state.ledger.remote()) {
         const auto isRecent = [&](const std::map<DataCentreId, TimePoint>& times) {
-            const auto at = times.find(dataCentre);
+            const auto at = times.find(remote.first);
             return at != times.end() && now - at->second < remoteBeatPeriod * 3;
         };
-        if (isRecent(m_remoteBeatAt) || (to == Distance::OwnCell && leadsCell && isRecent(m_remoteRelayAt)))
-            beat.remote.push_back({ dataCentre, load });
+        if (isRecent(m_remoteBeatAt) || (passesOnRelayed && isRecent(m_remoteRelayAt)))
+            beat.remote.push_back({ remote.first, remote.second });
     }
 }
 
