--- a/packages/gateway/fuchsialb/src/Gateway/Gateway.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/Gateway.cpp
@@ -117,6 +117,7 @@
 
         std::uint16_t callerPort() const override { return m_callerServer->port(); }
         std::uint16_t readinessPort() const override { return m_readinessServer->port(); }
+        std::uint16_t metricsPort() const override { return m_metricsServer->port(); }
 
     private:
         /// A host that can't check API keys is not ready, so that callers use other hosts.
--- a/packages/gateway/fuchsialb/src/Gateway/Gateway.h
+++ b/packages/gateway/fuchsialb/src/Gateway/Gateway.h
@@ -34,6 +34,7 @@
     virtual void requestStop() = 0;
     virtual std::uint16_t callerPort() const = 0;
     virtual std::uint16_t readinessPort() const = 0;
+    virtual std::uint16_t metricsPort() const = 0;
 };
 
 } // namespace fuchsialb
