Ask a second runner before a silent one is found dead

Cause: a host took the silence of the first runner of a path for a failure of that runner, also when its own link was congested and no runner answered, and its heartbeats made the other hosts of the data centre avoid the runner. Change: when the first runner doesn't report its state, the host asks another one, chosen by selectStallControl: usable, not asked yet in this run, and with a recent success before others. The first runner is marked dead only if the other one responds and the stream has had no event meanwhile. Otherwise the host logs stall-unexplained and counts stalls_unexplained, and the stream moves by the limit of the stall detector. Without any other runner the first one is marked dead as before.

--- a/packages/core/fuchsialb/Fleet.h
+++ b/packages/core/fuchsialb/Fleet.h
@@ -20,4 +20,5 @@
 #include "src/Fleet/RunHistory.h"
 #include "src/Fleet/RunnerDirectory.h"
 #include "src/Fleet/SharedRetryBudget.h"
+#include "src/Fleet/StallControl.h"
 #include "src/Fleet/StallDetector.h"
--- a/packages/gateway/fuchsialb/src/Gateway/StreamCall.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/StreamCall.cpp
@@ -182,6 +182,7 @@
     ++m_runs;
     m_splitter = {};
     m_stallDetector.emplace(StallDetector::Limits {}, now);
+    m_stallControls.clear();
     if (m_runs == 1)
         m_startedAt = now;
     RunnerCall call;
@@ -423,7 +424,8 @@
 {
     const auto self = std::static_pointer_cast<StreamCall>(shared_from_this());
     const std::uint32_t run = m_runs;
-    requestReport(m_context, m_path.front().address, [self, run](const absl::StatusOr<RunnerReport>& report) {
+    const TimePoint askedAt = m_context.now();
+    requestReport(m_context, m_path.front().address, [self, run, askedAt](const absl::StatusOr<RunnerReport>& report) {
         if (self->isFinished() || self->m_runs != run || !self->m_exchange)
             return;
         if (report.ok()) {
@@ -431,13 +433,51 @@
         } else if (const Reason reason = reasonOf(report.status()); reason == Reason::EndpointFailed) {
             self->m_context.log.log(self->logLine("report-unreadable"));
         } else if (reason != Reason::Cancelled) {
-            // Copied, since m_path changes when the stream fails over.
-            const EndpointId first = self->m_path.front().runner;
-            self->recordDead(first, "silent");
+            self->checkSilentRunner(askedAt);
         }
     });
 }
 
+void StreamCall::checkSilentRunner(TimePoint askedAt)
+{
+    // Copied, since m_path changes when the stream fails over.
+    const EndpointId first = m_path.front().runner;
+    const RunnerDirectory::Runner* control = selectStallControl(
+        m_context.runners, m_path, m_stallControls, m_context.settings.dataCentre, m_context.now());
+    if (!control) {
+        recordDead(first, "silent");
+        return;
+    }
+    const EndpointId controlId = control->entry.id;
+    m_stallControls.insert(controlId);
+    const auto self = std::static_pointer_cast<StreamCall>(shared_from_this());
+    const std::uint32_t run = m_runs;
+    requestReport(m_context, control->entry.address,
+        [self, run, askedAt, first, controlId](const absl::StatusOr<RunnerReport>& report) {
+            // Any response shows that this host reaches other runners, also one that is not a valid report.
+            const Reason reason = report.ok() ? Reason::Ok : reasonOf(report.status());
+            if (reason != Reason::Ok && reason != Reason::EndpointFailed) {
+                if (reason != Reason::Cancelled)
+                    self->recordUnexplainedStall(first, controlId);
+                return;
+            }
+            if (self->isFinished() || self->m_runs != run || !self->m_exchange)
+                return;
+            // The first runner has sent an event since it was asked, so the pause is over.
+            if (self->m_stallDetector->lastEvent() >= askedAt)
+                return;
+            self->recordDead(first, "silent");
+        });
+}
+
+void StreamCall::recordUnexplainedStall(const EndpointId& first, const EndpointId& control)
+{
+    LogLine line = logLine("stall-unexplained");
+    line.add("runner", first.value()).add("control", control.value());
+    m_context.log.log(line);
+    m_context.metrics.count("stalls_unexplained", "cause", "silent");
+}
+
 void StreamCall::handleReport(const RunnerReport& report)
 {
     for (const StalledRequest& stalled : report.stalled) {
--- a/packages/gateway/fuchsialb/src/Gateway/StreamCall.h
+++ b/packages/gateway/fuchsialb/src/Gateway/StreamCall.h
@@ -60,6 +60,12 @@
     /// Asks the first runner of the path which runner blocks the request.
     void diagnoseStall();
     void handleReport(const RunnerReport& report);
+    /// \brief Marks the first runner of the path, which didn't report its state, as dead if another runner answers.
+    ///
+    /// Without an answer of either runner the stall may be due to the link or load of this host, and nothing is marked.
+    /// \param askedAt When the first runner was asked.
+    void checkSilentRunner(TimePoint askedAt);
+    void recordUnexplainedStall(const EndpointId& first, const EndpointId& control);
     /// Forgets the exchange and releases the capacity reserved on the path.
     void releasePath();
     /// Retries the request on another path or finishes it.
@@ -89,6 +95,8 @@
     /// First runner of each path used.
     RunHistory m_history;
     std::optional<StallDetector> m_stallDetector;
+    /// Runners asked in the current run whether this host reaches any runner.
+    std::set<EndpointId> m_stallControls;
     /// Stages of the path that are draining or dead; true for dead ones.
     std::map<EndpointId, bool> m_leavingStages;
     /// An order to change the path was sent and is unanswered.
