--- a/packages/core/fuchsialb/src/Fleet/BeatExchange.cpp
+++ b/packages/core/fuchsialb/src/Fleet/BeatExchange.cpp
@@ -93,7 +93,7 @@
     beat.load = to == Distance::OwnCell ? m_state.ledger.own() : m_state.ledger.cellTotal();
     beat.cellLeader = leadsCell;
     if (to == Distance::OwnCell && leadsCell)
-        beat.otherCells = m_state.ledger.otherCellsTotal();
+        beat.otherCells = m_otherCells.empty() ? m_state.ledger.cellsTotal() : m_otherCells;
     if (beat.sequence % remoteLoadBeats != 0)
         return;
     // Loads go from the leader that received them to the other cells and from there to their hosts, so that old loads
@@ -205,8 +205,10 @@
         return removed;
     });
     // A new leader uses the sum that its predecessor sent until then, while it hears of the other cells one by one.
-    if (!sameCells || now - m_otherCellsAt >= cellLoadTimeout)
+    if (!sameCells || now - m_otherCellsAt >= cellLoadTimeout) {
+        m_otherCells.clear();
         m_state.ledger.setOtherCells({});
+    }
 }
 
 void BeatExchange::receiveOtherCells(const HostId& from, HostBeat& beat, TimePoint now)
@@ -216,7 +218,8 @@
         return;
     for (const auto& [cell, at] : std::exchange(m_cellBeatAt, {}))
         m_state.ledger.removeCell(cell);
-    m_state.ledger.setOtherCells(std::move(beat.otherCells));
+    m_otherCells = std::move(beat.otherCells);
+    m_state.ledger.setOtherCells(m_otherCells);
     m_otherCellsAt = now;
 }
 
--- a/packages/core/fuchsialb/src/Fleet/BeatExchange.h
+++ b/packages/core/fuchsialb/src/Fleet/BeatExchange.h
@@ -121,7 +121,8 @@
     std::map<std::uint32_t, TimePoint> m_cellBeatAt;
     /// Number of cells that the indices in `m_cellBeatAt` refer to.
     std::uint32_t m_cells = 1;
-    /// Arrival of the last load of all other cells through the leader of this one.
+    /// The last load of all other cells through the leader of this one, and its arrival.
+    LoadTable m_otherCells;
     TimePoint m_otherCellsAt {};
     std::map<EndpointId, RelayedSuspicion> m_relayedSuspicions;
     /// Since when other hosts are known to have a newer configuration than this one.
--- a/packages/core/fuchsialb/src/Fleet/LoadLedger.cpp
+++ b/packages/core/fuchsialb/src/Fleet/LoadLedger.cpp
@@ -99,10 +99,8 @@
     return sum;
 }
 
-LoadTable LoadLedger::otherCellsTotal() const
+LoadTable LoadLedger::cellsTotal() const
 {
-    if (!m_otherCells.empty())
-        return m_otherCells;
     LoadTable sum;
     for (const auto& [cell, table] : m_cells)
         addLoads(sum, table);
@@ -112,13 +110,14 @@
 LoadTable LoadLedger::dataCentreTotal() const
 {
     LoadTable sum = cellTotal();
-    addLoads(sum, otherCellsTotal());
+    // The sum of a former leader counts in place of the single cells until it is removed.
+    addLoads(sum, m_otherCells.empty() ? cellsTotal() : m_otherCells);
     return sum;
 }
 
 void LoadLedger::rebuildOthers()
 {
-    m_others = otherCellsTotal();
+    m_others = m_otherCells.empty() ? cellsTotal() : m_otherCells;
     for (const auto& [host, table] : m_peers)
         addLoads(m_others, table);
     for (const auto& [dataCentre, table] : m_remote)
--- a/packages/core/fuchsialb/src/Fleet/LoadLedger.h
+++ b/packages/core/fuchsialb/src/Fleet/LoadLedger.h
@@ -59,18 +59,18 @@
     /// Replaces the total load of the hosts of another cell, which the leader of a cell gets from each other one.
     void setCell(std::uint32_t cell, LoadTable load);
     void removeCell(std::uint32_t cell);
-    /// Replaces the total load of all other cells, which the other hosts of a cell get from its leader. Unless it is
-    /// empty, it counts in place of the loads of single cells.
+    /// Replaces the total load of all other cells, which the other hosts of a cell get from its leader.
     void setOtherCells(LoadTable load);
     /// Replaces the total load of the hosts of another data centre.
     void setRemote(const DataCentreId& dataCentre, LoadTable load);
     void removeRemote(const DataCentreId& dataCentre);
     /// \return Total load of all hosts of this cell.
     LoadTable cellTotal() const;
-    /// \return Total load of the other cells.
-    LoadTable otherCellsTotal() const;
+    /// \return Total load of the other cells that are known one by one.
+    LoadTable cellsTotal() const;
     /// \return Total load of all hosts of this data centre.
     LoadTable dataCentreTotal() const;
+    const std::map<std::uint32_t, LoadTable>& cells() const { return m_cells; }
     const std::map<DataCentreId, LoadTable>& remote() const { return m_remote; }
 
     RunnerLoad at(const EndpointId& runner) const;
