--- a/packages/core/fuchsialb/src/Fleet/LoadLedger.cpp
+++ b/packages/core/fuchsialb/src/Fleet/LoadLedger.cpp
@@ -110,18 +110,16 @@
 LoadTable LoadLedger::dataCentreTotal() const
 {
     LoadTable sum = cellTotal();
-    addLoads(sum, cellsTotal());
-    addLoads(sum, m_otherCells);
+    // The sum of a former leader counts in place of the single cells until it is removed.
+    addLoads(sum, m_otherCells.empty() ? cellsTotal() : m_otherCells);
     return sum;
 }
 
 void LoadLedger::rebuildOthers()
 {
-    m_others = m_otherCells;
+    m_others = m_otherCells.empty() ? cellsTotal() : m_otherCells;
     for (const auto& [host, table] : m_peers)
         addLoads(m_others, table);
-    for (const auto& [cell, table] : m_cells)
-        addLoads(m_others, table);
     for (const auto& [dataCentre, table] : m_remote)
         addLoads(m_others, table);
 }
