Report an outdated watch apart from a lost store

No caller was refused in the seconds in question. Cause: a host watches the prefix of the hosts for 20 s from a version that is up to 1.5 s old, and the store keeps 20 s of history. Its answer 410 was taken for an unreachable store. Change: such an answer is logged as `watch-outdated` and counted as `outdated_watches`. The prefix is still listed again after the same delay. Conclusion: the number of store calls is unchanged. A watch of hosts that is shorter than the history by its interval would save one listing.

--- a/packages/gateway/fuchsialb/src/Gateway/StoreSession.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/StoreSession.cpp
@@ -59,7 +59,15 @@
     });
 }
 
-void PrefixWatcher::onFailure(const absl::Status& status)
+void PrefixWatcher::reportOutdatedWatch()
+{
+    LogLine line("watch-outdated");
+    line.add("prefix", m_options.name).add("as_of", static_cast<std::int64_t>(m_asOf.value()));
+    m_context.log.log(line);
+    m_context.metrics.count("outdated_watches", "prefix", m_options.name);
+}
+
+void PrefixWatcher::reportUnreachable(const absl::Status& status)
 {
     if (m_reachable || !m_reachabilityKnown) {
         LogLine line("store-lost");
@@ -70,6 +78,15 @@
     }
     m_reachable = false;
     m_context.metrics.count("store_failures", "prefix", m_options.name);
+}
+
+void PrefixWatcher::onFailure(const absl::Status& status)
+{
+    // A store that no longer keeps the changes since a version has answered, so it is reachable.
+    if (reasonOf(status) == Reason::StoreBehind)
+        reportOutdatedWatch();
+    else
+        reportUnreachable(status);
     // Retries with a listing: it is answered at once, so it detects recovery of the store sooner than a watch.
     const Duration delay = initialRetryDelay * (1U << std::min(m_consecutiveFailures, maxRetryDoublings));
     ++m_consecutiveFailures;
--- a/packages/gateway/fuchsialb/src/Gateway/StoreSession.h
+++ b/packages/gateway/fuchsialb/src/Gateway/StoreSession.h
@@ -39,6 +39,8 @@
     void list();
     void watch();
     void schedule(Duration delay, bool listing);
+    void reportOutdatedWatch();
+    void reportUnreachable(const absl::Status& status);
     void onFailure(const absl::Status& status);
     void onSuccess();
 
