Ask a suspected runner before its layers are placed elsewhere

Cause: RunnerDirectory::lost took the finding of any host for the loss of a runner, so one host with a full link could empty healthy runners of its data centre for the time of a load. Change: a finding of another host only suspends the runner. The host that places layers asks the runner for its report and, without an answer, a second runner; it counts the layers as lost only if that one answers. Before: core.FleetPlacementLossTest failed with orders right after another host's finding.

--- a/packages/core/fuchsialb/src/Fleet/RunnerDirectory.h
+++ b/packages/core/fuchsialb/src/Fleet/RunnerDirectory.h
@@ -50,11 +50,16 @@
 
         bool usable(TimePoint now) const { return !entry.draining && now >= suspendedUntil; }
         bool dead(TimePoint now) const { return markedDead && now < suspendedUntil; }
-        /// \return Whether other runners must hold its layers: it is dead or has failed all requests for some time.
+        /// \return Whether another host found it dead and this one hasn't.
+        bool deadByPeerOnly(TimePoint now) const { return dead(now) && !markedDeadLocally; }
+        /// \return Whether other runners must hold its layers: this host found it dead, or it has failed all requests
+        /// of
+        ///     this host for some time.
         bool lost(TimePoint now) const
         {
             constexpr Duration maxFailingTime = std::chrono::seconds(5);
-            return dead(now) || (now < suspendedUntil && now - failingSince >= maxFailingTime);
+            const bool failing = failures > 0 && now < suspendedUntil && now - failingSince >= maxFailingTime;
+            return (dead(now) && markedDeadLocally) || failing;
         }
     };
 
--- a/packages/gateway/fuchsialb/src/Gateway/PlacementCoordinator.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/PlacementCoordinator.cpp
@@ -13,6 +13,11 @@
     constexpr Duration settleTime = std::chrono::milliseconds(1500);
     // Delay after start in which the other hosts register, so that only the responsible host sends orders.
     constexpr Duration hostRegistrationTime = std::chrono::milliseconds(2500);
+    // Between two inquiries at a runner that other hosts found dead; longer than its report and that of a second runner
+    // may take.
+    constexpr Duration checkInterval = std::chrono::milliseconds(900);
+    // As for a runner that a request finds dead.
+    constexpr Duration deadSuspension = std::chrono::seconds(3);
 
 } // namespace
 
@@ -47,6 +52,7 @@
         line.add("data_centre", key.first.value()).add("model", key.second.value());
         m_context.log.log(line);
     }
+    checkSuspectedRunners(key, now);
     for (const PlacementOrder& order :
         found->second.nextOrders(m_context.runners, m_context.ledger, engine, now, settleTime))
         sendOrder(key, order);
@@ -72,6 +78,61 @@
     });
 }
 
+void PlacementCoordinator::checkSuspectedRunners(const Key& key, TimePoint now)
+{
+    std::erase_if(m_nextCheckAt, [&](const auto& check) { return now >= check.second; });
+    std::vector<EndpointId> suspected;
+    for (const auto& [id, runner] : m_context.runners.runners()) {
+        const bool placed = runner.entry.dataCentre == key.first && runner.entry.service == key.second;
+        if (placed && runner.deadByPeerOnly(now) && !m_nextCheckAt.contains(id))
+            suspected.push_back(id);
+    }
+    for (const EndpointId& id : suspected) {
+        m_nextCheckAt[id] = now + checkInterval;
+        checkSuspectedRunner(id);
+    }
+}
+
+void PlacementCoordinator::checkSuspectedRunner(const EndpointId& runner)
+{
+    const RunnerDirectory::Runner* known = m_context.runners.find(runner);
+    if (!known)
+        return;
+    requestReport(m_context, known->entry.address, [this, runner](const absl::StatusOr<RunnerReport>& report) {
+        if (report.ok())
+            m_context.log.log(LogLine("suspected-runner-alive").add("runner", runner.value()));
+        else if (reasonOf(report.status()) != Reason::Cancelled)
+            checkSilentRunner(runner);
+    });
+}
+
+void PlacementCoordinator::checkSilentRunner(const EndpointId& runner)
+{
+    const RunnerDirectory::Runner* known = m_context.runners.find(runner);
+    if (!known)
+        return;
+    const Path path { { runner, known->entry.address, known->entry.layers, known->entry.dataCentre } };
+    const RunnerDirectory::Runner* control
+        = selectStallControl(m_context.runners, path, {}, m_context.settings.dataCentre, m_context.now());
+    if (!control) {
+        markDead(runner);
+        return;
+    }
+    requestReport(m_context, control->entry.address, [this, runner](const absl::StatusOr<RunnerReport>& report) {
+        // Any response shows that this host reaches other runners, also one that is not a valid report.
+        if (report.ok() || reasonOf(report.status()) == Reason::EndpointFailed)
+            markDead(runner);
+        else
+            m_context.log.log(LogLine("suspected-runner-unclear").add("runner", runner.value()));
+    });
+}
+
+void PlacementCoordinator::markDead(const EndpointId& runner)
+{
+    m_context.runners.markDead(runner, m_context.now(), deadSuspension);
+    m_context.log.log(LogLine("suspected-runner-dead").add("runner", runner.value()));
+}
+
 void PlacementCoordinator::refreshState(const EndpointId& runner)
 {
     const RunnerDirectory::Runner* known = m_context.runners.find(runner);
--- a/packages/gateway/fuchsialb/src/Gateway/PlacementCoordinator.h
+++ b/packages/gateway/fuchsialb/src/Gateway/PlacementCoordinator.h
@@ -23,11 +23,19 @@
 
     void sendDueOrders(const Key& key, const EngineProfile& engine, TimePoint now);
     void sendOrder(const Key& key, const PlacementOrder& order);
+    /// Asks the runners that other hosts found dead for their state, before their layers are placed elsewhere.
+    void checkSuspectedRunners(const Key& key, TimePoint now);
+    void checkSuspectedRunner(const EndpointId& runner);
+    /// Asks another runner, to tell whether this host reaches any, and marks the silent one dead if that one answers.
+    void checkSilentRunner(const EndpointId& runner);
+    void markDead(const EndpointId& runner);
     /// Asks a runner for its state, which the registry shows late or not at all.
     void refreshState(const EndpointId& runner);
 
     GatewayContext& m_context;
     std::map<Key, PlacementDriver> m_drivers;
+    /// When each suspected runner may be asked again.
+    std::map<EndpointId, TimePoint> m_nextCheckAt;
     TimePoint m_startedAt {};
 };
 
