--- a/packages/gateway/fuchsialb/src/Gateway/StoreSession.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/StoreSession.cpp
@@ -22,8 +22,9 @@
     constexpr std::string_view sharedKeyPath = "fuchsialb/hosts/.key";
     constexpr int sharedKeyWordCount = 4;
     // The watch of the leading host proves that the configuration is still the newest, which that host tells the
-    // others. Its timeout must be well below the time for which API keys are accepted without such a proof.
-    constexpr Duration leaderWatchTimeout = std::chrono::milliseconds(2000);
+    // others. Its timeout and the time of the proof through the leaders of cells must add up to less than
+    // proofRefreshAge, or all hosts read the configuration by themselves.
+    constexpr Duration leaderWatchTimeout = std::chrono::milliseconds(1500);
     constexpr Duration defaultWatchTimeout = std::chrono::seconds(20);
     // Age of the last proof at which a host that got no newer one from its peers reads the store itself.
     constexpr Duration proofRefreshAge = std::chrono::milliseconds(3000);
@@ -59,7 +60,15 @@
     });
 }
 
-void PrefixWatcher::onFailure(const absl::Status& status)
+void PrefixWatcher::reportOutdatedWatch()
+{
+    LogLine line("watch-outdated");
+    line.add("prefix", m_options.name).add("as_of", static_cast<std::int64_t>(m_asOf.value()));
+    m_context.log.log(line);
+    m_context.metrics.count("outdated_watches", "prefix", m_options.name);
+}
+
+void PrefixWatcher::reportUnreachable(const absl::Status& status)
 {
     if (m_reachable || !m_reachabilityKnown) {
         LogLine line("store-lost");
@@ -70,6 +79,15 @@
     }
     m_reachable = false;
     m_context.metrics.count("store_failures", "prefix", m_options.name);
+}
+
+void PrefixWatcher::onFailure(const absl::Status& status)
+{
+    // A store that no longer keeps the changes since a version has answered, so it is reachable.
+    if (reasonOf(status) == Reason::StoreBehind)
+        reportOutdatedWatch();
+    else
+        reportUnreachable(status);
     // Retries with a listing: it is answered at once, so it detects recovery of the store sooner than a watch.
     const Duration delay = initialRetryDelay * (1U << std::min(m_consecutiveFailures, maxRetryDoublings));
     ++m_consecutiveFailures;
