Place the layers of a data centre in groups of runners and rebalance them

Cause: one copy of the layers over all runners of a data centre. Change: the best number of holders of each range is searched by room, slots, token time and what a loss leaves; borders and holders are moved in rounds after losses; paths keep to the number of stages that runners accept; hosts that know the same loads spread over runners of similar cost.

--- a/packages/core/fuchsialb/src/Fleet/EngineProfile.cpp
+++ b/packages/core/fuchsialb/src/Fleet/EngineProfile.cpp
@@ -57,6 +57,11 @@
     return allLayers * accelerator.stepFactor * count / layers;
 }
 
+double EngineProfile::usualTokens() const
+{
+    return std::max(1.0, static_cast<double>(usualPromptTokens + usualOutputTokens));
+}
+
 Duration EngineProfile::linkTransferTime(double tokens) const
 {
     if (linkMegabits <= 0)
--- a/packages/core/fuchsialb/src/Fleet/EngineProfile.h
+++ b/packages/core/fuchsialb/src/Fleet/EngineProfile.h
@@ -18,12 +18,17 @@
 
 /// \brief Cost model of an engine whose layers are distributed over many runners. Times are for all layers together.
 struct EngineProfile {
+    /// Network hop that each stage of a path adds to every token.
+    static constexpr double stageHopMilliseconds = 0.3;
+
     std::uint32_t layers = 0;
     double layerMegabytes = 0;
     /// KV cache of one token in all layers, in bytes.
     double cacheBytesPerToken = 0;
     /// Maximum number of concurrent requests for which a runner is the first stage.
     std::uint32_t slots = 1;
+    /// Maximum number of stages of a path that runners accept.
+    std::uint32_t maxStages = 32;
     double stepMilliseconds = 0;
     double stepMillisecondsPerSequence = 0;
     double stepMillisecondsPerThousandTokens = 0;
@@ -47,6 +52,8 @@
     double cacheCapacity(const AcceleratorProfile& accelerator, std::uint32_t heldLayers) const;
     /// \return Duration of one token step over `count` layers with `sequences` in the batch, in milliseconds.
     double stepTime(const AcceleratorProfile& accelerator, std::uint32_t count, double sequences) const;
+    /// \return Usual number of tokens of a request at its end, at least 1.
+    double usualTokens() const;
     /// \return Time to transfer the hidden states of `tokens` tokens over the idle link between data centres.
     Duration linkTransferTime(double tokens) const;
 
--- a/packages/core/fuchsialb/src/Fleet/PathFinder.cpp
+++ b/packages/core/fuchsialb/src/Fleet/PathFinder.cpp
@@ -1,5 +1,7 @@
 #include "PathFinder.h"
 
+#include "../Base/Hash.h"
+
 #include <algorithm>
 #include <limits>
 
@@ -7,18 +9,29 @@
 
 namespace {
 
-    // Network hop that each stage adds to every token.
-    constexpr double stageHopMilliseconds = 0.3;
     // Hidden states sent between data centres queue on a link that all requests share. The penalty is far above the
     // step time of a whole model, so that paths cross only as a last resort.
     constexpr double dataCentreCrossingMilliseconds = 400;
     // Responses from runners of another data centre cross the link only once, as text.
     constexpr double remoteAnswerMilliseconds = 6;
-    // Maximum number of stages that runners accept.
-    constexpr std::size_t maxStages = 32;
     // Increase of the step cost with a full KV cache, relative to the cost with an empty one.
     constexpr double cacheFillWeight = 3;
 
+    // Factor by which the price of a stage rises when a path has too many of them.
+    constexpr double stagePriceFactor = 10;
+    // Range of the random part of a runner's cost, relative to the cost.
+    constexpr double maxCostVariation = 0.3;
+
+    /// A factor that is the same for each search of a request, so that repeated searches prefer the same path.
+    double costVariation(std::string_view requestId, const EndpointId& runner)
+    {
+        if (requestId.empty())
+            return 1;
+        constexpr double range = 4294967296.0;
+        const auto hash = static_cast<std::uint32_t>(hash64(requestId, hash64(runner.value())));
+        return 1 + maxCostVariation * static_cast<double>(hash) / range;
+    }
+
     struct LayerHolder {
         const RunnerEntry* entry = nullptr;
         std::uint32_t dataCentreIndex = 0;
@@ -56,12 +69,12 @@
 
 std::optional<Path> PathFinder::find(const PathRequest& request, const EngineProfile& engine, TimePoint now) const
 {
-    return search(request, engine, now, { 0, engine.layers }, false);
+    return searchBounded(request, engine, now, { 0, engine.layers }, engine.maxStages, false);
 }
 
 bool PathFinder::feasibleWhenIdle(const PathRequest& request, const EngineProfile& engine, TimePoint now) const
 {
-    return search(request, engine, now, { 0, engine.layers }, true).has_value();
+    return searchBounded(request, engine, now, { 0, engine.layers }, engine.maxStages, true).has_value();
 }
 
 std::optional<Path> PathFinder::replaceStage(const Path& path, const EndpointId& replaced, const PathRequest& request,
@@ -78,8 +91,11 @@
     // A path contains each runner at most once.
     for (const PathStage& held : path)
         subrequest.excluded.insert(held.runner);
-    const auto replacement = search(subrequest, engine, now, stage->layers, false);
-    if (!replacement || path.size() - 1 + replacement->size() > maxStages)
+    if (path.size() > engine.maxStages)
+        return std::nullopt;
+    const auto replacement
+        = searchBounded(subrequest, engine, now, stage->layers, engine.maxStages - (path.size() - 1), false);
+    if (!replacement)
         return std::nullopt;
     Path updated(path.begin(), stage);
     updated.insert(updated.end(), replacement->begin(), replacement->end());
@@ -87,8 +103,21 @@
     return updated;
 }
 
-std::optional<Path> PathFinder::search(const PathRequest& request, const EngineProfile& engine, TimePoint now,
-    const LayerRange& range, bool ignoreLoad) const
+std::optional<Path> PathFinder::searchBounded(const PathRequest& request, const EngineProfile& engine, TimePoint now,
+    const LayerRange& range, std::size_t maxStages, bool ignoreLoad) const
+{
+    double stageMilliseconds = EngineProfile::stageHopMilliseconds;
+    for (const int attempts : { 1, 2, 3 }) {
+        auto path = searchOnce(request, engine, now, range, ignoreLoad, stageMilliseconds);
+        if (!path || path->size() <= maxStages)
+            return path;
+        stageMilliseconds *= attempts * stagePriceFactor;
+    }
+    return std::nullopt;
+}
+
+std::optional<Path> PathFinder::searchOnce(const PathRequest& request, const EngineProfile& engine, TimePoint now,
+    const LayerRange& range, bool ignoreLoad, double stageMilliseconds) const
 {
     std::vector<LayerHolder> holders;
     std::vector<DataCentreId> dataCentres;
@@ -113,7 +142,8 @@
         if (known == dataCentres.end())
             dataCentres.push_back(entry.dataCentre);
         const double fill = std::min(1.0, load.cache / capacity);
-        holder.layerCost = engine.stepTime(*accelerator, 1, load.sequences + 1) * (1 + cacheFillWeight * fill * fill);
+        holder.layerCost = engine.stepTime(*accelerator, 1, load.sequences + 1) * (1 + cacheFillWeight * fill * fill)
+            * costVariation(request.requestId, id);
         holder.layersWithCapacity = request.tokens > 0 ? (capacity - load.cache) / request.tokens : engine.layers;
         holder.mayBeFirst = load.firstStages < engine.slots * std::min(1.0, request.cacheLimit)
             && (request.allowedFirstRunners.empty() || request.allowedFirstRunners.contains(id));
@@ -161,7 +191,7 @@
                 const std::uint32_t count = *to - from;
                 if (count > holder.layersWithCapacity)
                     break;
-                const double cost = baseCost + stageHopMilliseconds + holder.layerCost * count;
+                const double cost = baseCost + stageMilliseconds + holder.layerCost * count;
                 SearchState& reached = stateAt(*to, holder.dataCentreIndex);
                 if (cost < reached.cost)
                     reached = { cost, &holder, from, baseDataCentre };
--- a/packages/core/fuchsialb/src/Fleet/PathFinder.h
+++ b/packages/core/fuchsialb/src/Fleet/PathFinder.h
@@ -6,6 +6,7 @@
 
 #include <optional>
 #include <set>
+#include <string_view>
 
 namespace fuchsialb {
 
@@ -24,6 +25,8 @@
     std::set<EndpointId> allowedFirstRunners {};
     /// Whether hidden states may be sent from one data centre to another.
     bool mayCrossDataCentres = true;
+    /// Identifies the request among those of all hosts, which choose differently among runners of similar cost.
+    std::string_view requestId {};
 };
 
 /// \brief Finds the cheapest path that covers all layers in order and has capacity for a request.
@@ -32,6 +35,9 @@
 /// layers at one runner. The cost of an edge is the time of a token step there, which increases as the runner's KV
 /// cache fills, so that requests are balanced over the runners that hold a range. Crossing between data centres costs
 /// far more than any path inside one, because the hidden states of each token then use a shared link.
+///
+/// Hosts learn each other's load late. In a burst, all of them would choose the same cheapest runner of a group until
+/// they hear of each other, so the cost of each runner varies by request.
 class PathFinder {
 public:
     PathFinder(const RunnerDirectory& directory, const LoadLedger& ledger)
@@ -59,8 +65,12 @@
 private:
     /// \param range The layers to cover; a range that does not start at layer 0 must start in the request's data
     /// centre.
-    std::optional<Path> search(const PathRequest& request, const EngineProfile& engine, TimePoint now,
-        const LayerRange& range, bool ignoreLoad) const;
+    /// Searches a path of at most the number of stages that runners accept, at a rising price of each stage.
+    std::optional<Path> searchBounded(const PathRequest& request, const EngineProfile& engine, TimePoint now,
+        const LayerRange& range, std::size_t maxStages, bool ignoreLoad) const;
+    /// \param stageMilliseconds Price of each stage.
+    std::optional<Path> searchOnce(const PathRequest& request, const EngineProfile& engine, TimePoint now,
+        const LayerRange& range, bool ignoreLoad, double stageMilliseconds) const;
 
     const RunnerDirectory& m_directory;
     const LoadLedger& m_ledger;
--- a/packages/core/fuchsialb/src/Fleet/PlacementDriver.cpp
+++ b/packages/core/fuchsialb/src/Fleet/PlacementDriver.cpp
@@ -21,6 +21,9 @@
     // A crashed runner usually rejoins empty within a few seconds and then gets back its former layers.
     constexpr Duration restartPeriod = std::chrono::milliseconds(4500);
 
+    // Between two rounds of balancing, so that the registry shows the effect of the last one.
+    constexpr Duration balanceInterval = std::chrono::milliseconds(1000);
+
     Duration loadTime(const EngineProfile& engine, std::uint32_t layers)
     {
         return engine.layers == 0 ? Duration(0) : engine.loadTime * layers / engine.layers;
@@ -114,9 +117,10 @@
     const std::vector<PlacementNode>& nodes, const EngineProfile& engine, TimePoint now)
 {
     std::vector<PlacementStep> steps = PlacementPlanner::plan(nodes, engine);
-    if (!steps.empty() || !m_pending.empty() || !PlacementPlanner::hasGap(nodes, engine)) {
+    const bool hasGap = PlacementPlanner::hasGap(nodes, engine);
+    if (!steps.empty() || !m_pending.empty() || !hasGap) {
         m_gapSince.reset();
-        return steps;
+        return steps.empty() && !hasGap ? balance(nodes, engine, now) : steps;
     }
     if (!m_gapSince)
         m_gapSince = now;
@@ -126,6 +130,22 @@
     return PlacementPlanner::relayout(nodes, engine);
 }
 
+std::vector<PlacementStep> PlacementDriver::balance(
+    const std::vector<PlacementNode>& nodes, const EngineProfile& engine, TimePoint now)
+{
+    if (now < m_nextBalanceAt)
+        return {};
+    m_nextBalanceAt = now + balanceInterval;
+    std::vector<EndpointId> runners;
+    runners.reserve(nodes.size());
+    for (const PlacementNode& node : nodes)
+        runners.push_back(node.runner);
+    const bool known = m_room && runners == m_roomRunners;
+    m_room = PlacementPlanner::room(nodes, engine, known ? std::optional(m_room->bestTokens) : std::nullopt);
+    m_roomRunners = std::move(runners);
+    return PlacementPlanner::balance(nodes, engine, *m_room);
+}
+
 void PlacementDriver::handleOutcome(const EndpointId& runner, OrderOutcome outcome, TimePoint now)
 {
     const auto found = m_pending.find(runner);
--- a/packages/core/fuchsialb/src/Fleet/PlacementDriver.h
+++ b/packages/core/fuchsialb/src/Fleet/PlacementDriver.h
@@ -51,6 +51,8 @@
     std::vector<PlacementOrder> nextOrders(const RunnerDirectory& directory, const LoadLedger& ledger,
         const EngineProfile& engine, TimePoint now, Duration settleTime);
     void handleOutcome(const EndpointId& runner, OrderOutcome outcome, TimePoint now);
+    /// \return Room in the data centre as of the last round of balancing; none before the first one.
+    const std::optional<PlacementRoom>& room() const { return m_room; }
     /// \return Runners with an order in progress whose state should have changed by now and must be queried.
     std::vector<EndpointId> overdueRunners(TimePoint now);
 
@@ -64,6 +66,8 @@
 
     std::vector<PlacementStep> plan(
         const std::vector<PlacementNode>& nodes, const EngineProfile& engine, TimePoint now);
+    std::vector<PlacementStep> balance(
+        const std::vector<PlacementNode>& nodes, const EngineProfile& engine, TimePoint now);
     void removeFinished(const RunnerDirectory& directory, TimePoint now);
     std::vector<PlacementNode> nodes(const RunnerDirectory& directory, const LoadLedger& ledger, TimePoint now) const;
     /// Updates the arrival times for runners that joined or left since the last call.
@@ -79,6 +83,10 @@
     TimePoint m_changedAt {};
     /// Start of the time in which some layer is held by no runner and no order will change that.
     std::optional<TimePoint> m_gapSince;
+    TimePoint m_nextBalanceAt {};
+    std::optional<PlacementRoom> m_room;
+    /// Runners for which the best layout in `m_room` was searched.
+    std::vector<EndpointId> m_roomRunners;
 };
 
 } // namespace fuchsialb
--- a/packages/gateway/fuchsialb/src/Gateway/PlacementCoordinator.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/PlacementCoordinator.cpp
@@ -2,6 +2,7 @@
 
 #include "RunnerControl.h"
 
+#include <cstdlib>
 #include <set>
 
 namespace fuchsialb {
@@ -58,6 +59,27 @@
         sendOrder(key, order);
     for (const EndpointId& runner : found->second.overdueRunners(now))
         refreshState(runner);
+    reportRoom(key, engine);
+}
+
+void PlacementCoordinator::reportRoom(const Key& key, const EngineProfile& engine)
+{
+    const auto& room = m_drivers.at(key).room();
+    if (!room)
+        return;
+    const auto streams = [&](double tokens) { return static_cast<std::int64_t>(tokens / engine.usualTokens()); };
+    const std::int64_t now = streams(room->tokens);
+    std::int64_t& reported = m_reportedRoom[key];
+    // Logged when it changes by a tenth, so that the volume stays bounded while borders shift.
+    constexpr std::int64_t minChange = 10;
+    if (std::abs(now - reported) * minChange <= reported)
+        return;
+    reported = now;
+    LogLine line("placement-room");
+    line.add("data_centre", key.first.value()).add("model", key.second.value());
+    line.add("streams", now).add("best_streams", streams(room->bestTokens));
+    m_context.log.log(line);
+    m_context.metrics.set("placement_room_streams", static_cast<double>(now));
 }
 
 void PlacementCoordinator::sendOrder(const Key& key, const PlacementOrder& order)
--- a/packages/gateway/fuchsialb/src/Gateway/PlacementCoordinator.h
+++ b/packages/gateway/fuchsialb/src/Gateway/PlacementCoordinator.h
@@ -23,6 +23,8 @@
 
     void sendDueOrders(const Key& key, const EngineProfile& engine, TimePoint now);
     void sendOrder(const Key& key, const PlacementOrder& order);
+    /// Logs the room for streams in the data centre when it changes.
+    void reportRoom(const Key& key, const EngineProfile& engine);
     /// Asks the runners that other hosts found dead for their state, before their layers are placed elsewhere.
     void checkSuspectedRunners(const Key& key, TimePoint now);
     void checkSuspectedRunner(const EndpointId& runner);
@@ -36,6 +38,8 @@
     std::map<Key, PlacementDriver> m_drivers;
     /// When each suspected runner may be asked again.
     std::map<EndpointId, TimePoint> m_nextCheckAt;
+    /// Room for streams that was last logged.
+    std::map<Key, std::int64_t> m_reportedRoom;
     TimePoint m_startedAt {};
 };
 
--- a/packages/gateway/fuchsialb/src/Gateway/StreamCall.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/StreamCall.cpp
@@ -105,7 +105,10 @@
 
 PathRequest StreamCall::pathRequest(double cacheLimit) const
 {
-    return { m_matched.service->name, m_context.settings.dataCentre, expectedTokens(), cacheLimit, m_excluded };
+    PathRequest request { m_matched.service->name, m_context.settings.dataCentre, expectedTokens(), cacheLimit,
+        m_excluded };
+    request.requestId = m_matched.request.id;
+    return request;
 }
 
 void StreamCall::enqueue(Duration maxWait)
