Keep what the hosts pass on complete over listings of the registry

Change: a view turns a listing into the changes since its former version; a host that hears of changes that it doesn't get reads at once; readers prove the registry each second. Tests: two sections of FleetDirectoryRelayTest.

--- a/packages/core/fuchsialb/src/Fleet/BeatExchange.cpp
+++ b/packages/core/fuchsialb/src/Fleet/BeatExchange.cpp
@@ -121,9 +121,9 @@
 
 void BeatExchange::receiveDirectories(const HostBeat& beat, Duration echoedAt)
 {
-    if (m_state.runnersView.accept(beat.runners, echoedAt - beat.runners.age) && m_hooks.onRunnersChanged)
+    if (m_state.runnersView.accept(beat.runners, echoedAt) && m_hooks.onRunnersChanged)
         m_hooks.onRunnersChanged(beat.runners);
-    if (m_state.hostsView.accept(beat.hosts, echoedAt - beat.hosts.age) && m_hooks.onHostsChanged)
+    if (m_state.hostsView.accept(beat.hosts, echoedAt) && m_hooks.onHostsChanged)
         m_hooks.onHostsChanged(beat.hosts);
 }
 
--- a/packages/core/fuchsialb/src/Fleet/DirectoryView.cpp
+++ b/packages/core/fuchsialb/src/Fleet/DirectoryView.cpp
@@ -1,6 +1,10 @@
 #include "DirectoryView.h"
 
+#include "../Base/Hash.h"
+
 #include <algorithm>
+#include <set>
+#include <string_view>
 #include <utility>
 
 namespace fuchsialb {
@@ -9,28 +13,65 @@
 
     // Changes kept for hosts that are behind. A host that is further behind reads the store.
     constexpr std::size_t maxKeptChanges = 1024;
+    // A host whose version is older than that of another one gets the changes within a few beats, or has to read them.
+    constexpr Duration maxBehind = std::chrono::milliseconds(900);
 
 } // namespace
 
 bool DirectoryView::isRecent(Duration bootNow, Duration limit) const
 {
-    return m_version != KeyVersion() && bootNow - m_provenAt < limit;
+    const bool behind = m_behindSince != Duration(0) && bootNow - m_behindSince >= maxBehind;
+    return m_version != KeyVersion() && !behind && bootNow - m_provenAt < limit;
+}
+
+std::vector<KeyItem> DirectoryView::difference(const std::vector<KeyItem>& items, bool complete) const
+{
+    std::vector<KeyItem> changes;
+    std::set<std::string_view> listed;
+    for (const KeyItem& item : items) {
+        listed.insert(item.key);
+        const auto known = m_keys.find(item.key);
+        if (known == m_keys.end() || known->second != hash64(item.value))
+            changes.push_back(item);
+    }
+    for (const auto& [key, hash] : m_keys) {
+        if (complete && !listed.contains(key))
+            changes.push_back({ key, {}, true });
+    }
+    return changes;
 }
 
-void DirectoryView::recordSnapshot(StoreEra era, KeyVersion asOf, Duration provenAt)
+void DirectoryView::applyToKeys(const std::vector<KeyItem>& changes)
 {
+    for (const KeyItem& change : changes) {
+        if (change.removed)
+            m_keys.erase(change.key);
+        else
+            m_keys[change.key] = hash64(change.value);
+    }
+}
+
+void DirectoryView::recordSnapshot(
+    StoreEra era, KeyVersion asOf, Duration provenAt, const std::vector<KeyItem>& items, bool complete)
+{
+    if (era == m_era && m_version != KeyVersion()) {
+        recordChanges(difference(items, complete), asOf, provenAt);
+        return;
+    }
+    reset(era);
     m_era = era;
     m_version = asOf;
     m_provenAt = provenAt;
-    m_batches.clear();
-    m_keptChanges = 0;
+    applyToKeys(items);
 }
 
 void DirectoryView::recordChanges(std::vector<KeyItem> changes, KeyVersion asOf, Duration provenAt)
 {
     m_provenAt = std::max(m_provenAt, provenAt);
-    if (asOf <= m_version)
+    m_behindSince = Duration(0);
+    if (asOf < m_version || (asOf == m_version && changes.empty()))
         return;
+    applyToKeys(changes);
     m_keptChanges += changes.size();
     // A batch without changes records that there were none between its versions.
     if (changes.empty() && !m_batches.empty() && m_batches.back().changes.empty())
@@ -46,23 +87,27 @@
 
 void DirectoryView::reset(StoreEra era)
 {
-    if (era > m_era)
-        recordSnapshot(era, KeyVersion(), Duration(0));
+    if (era <= m_era)
+        return;
+    *this = DirectoryView();
+    m_era = era;
 }
 
-bool DirectoryView::accept(const DirectoryUpdate& update, Duration provenAt)
+bool DirectoryView::accept(const DirectoryUpdate& update, Duration echoedAt)
 {
-    if (update.era > m_era)
-        reset(update.era);
+    reset(update.era);
     if (update.era != m_era || m_version == KeyVersion() || update.version == KeyVersion())
         return false;
+    const Duration provenAt = echoedAt - update.age;
     if (update.version <= m_version) {
         m_provenAt = std::max(m_provenAt, provenAt);
         return false;
     }
-    // Without the changes in between, the view stays as it is and gets old.
-    if (update.from == KeyVersion() || update.from > m_version)
+    if (update.from == KeyVersion() || update.from > m_version) {
+        if (m_behindSince == Duration(0))
+            m_behindSince = echoedAt;
         return false;
+    }
     recordChanges(update.changes, update.version, provenAt);
     return !update.changes.empty();
 }
--- a/packages/core/fuchsialb/src/Fleet/DirectoryView.h
+++ b/packages/core/fuchsialb/src/Fleet/DirectoryView.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -48,20 +49,23 @@
     KeyVersion version() const { return m_version; }
     /// \return Boot time at which the view was last known to be the newest.
     Duration provenAt() const { return m_provenAt; }
-    /// \return Whether the view was the newest within `limit` before `bootNow`.
+    /// \return Whether the view was the newest within `limit` before `bootNow`, and this host doesn't wait in vain for
+    ///     changes that others have.
     bool isRecent(Duration bootNow, Duration limit) const;
 
-    /// Records that the whole prefix was read.
-    void recordSnapshot(StoreEra era, KeyVersion asOf, Duration provenAt);
+    /// \brief Records that the whole prefix was read. What has changed since the former version is kept like changes.
+    /// \param complete Whether keys that aren't in `items` have been removed.
+    void recordSnapshot(
+        StoreEra era, KeyVersion asOf, Duration provenAt, const std::vector<KeyItem>& items, bool complete = true);
     /// Records changes that follow the current version.
     void recordChanges(std::vector<KeyItem> changes, KeyVersion asOf, Duration provenAt);
     /// Forgets a view of an era before `era`, so that it is read anew.
     void reset(StoreEra era);
 
     /// \brief Takes the update of another host if it continues this view.
-    /// \param provenAt Boot time of this host at which the update was the newest.
+    /// \param echoedAt Boot time of this host after which the update was sent.
     /// \return Whether the changes of the update have to be applied.
-    bool accept(const DirectoryUpdate& update, Duration provenAt);
+    bool accept(const DirectoryUpdate& update, Duration echoedAt);
     /// \param known Version of the receiver, in the same era.
     /// \param sendsChanges Whether the receiver relies on this host for changes.
     DirectoryUpdate updateFor(StoreEra era, KeyVersion known, bool sendsChanges, Duration bootNow) const;
@@ -73,9 +77,17 @@
         std::vector<KeyItem> changes;
     };
 
+    /// Changes from the keys that this view knows to those of a listing.
+    std::vector<KeyItem> difference(const std::vector<KeyItem>& items, bool complete) const;
+    void applyToKeys(const std::vector<KeyItem>& changes);
+
     StoreEra m_era;
     KeyVersion m_version;
     Duration m_provenAt { 0 };
+    /// Since when another host has a newer version without the changes that lead to it; 0 if none has.
+    Duration m_behindSince { 0 };
+    /// Hash of the value of each key.
+    std::map<std::string, std::uint64_t> m_keys;
     std::deque<Batch> m_batches;
     std::size_t m_keptChanges = 0;
 };
--- a/packages/core/tests/FleetDirectoryRelayTest.cpp
+++ b/packages/core/tests/FleetDirectoryRelayTest.cpp
@@ -18,7 +18,7 @@
         : m_dataCentre(dataCentre)
     {
         for (const auto& host : dataCentre.hosts)
-            host->runnersView.recordSnapshot(StoreEra(1), m_version, dataCentre.now.time_since_epoch());
+            host->runnersView.recordSnapshot(StoreEra(1), m_version, dataCentre.now.time_since_epoch(), {});
     }
 
     std::vector<Host*> readers() const
@@ -37,7 +37,8 @@
         m_version = KeyVersion(m_version.value() + 1);
         for (Host* reader : readers()) {
             reader->registry[key] = value;
-            reader->runnersView.recordChanges({ { key, value, false } }, m_version, m_dataCentre.now.time_since_epoch());
+            reader->runnersView.recordChanges(
+                { { key, value, false } }, m_version, m_dataCentre.now.time_since_epoch());
         }
     }
 
@@ -119,42 +120,58 @@
 TEST_CASE("A view takes only updates that continue it")
 {
     DirectoryView sender;
-    sender.recordSnapshot(StoreEra(1), KeyVersion(10), 1s);
+    sender.recordSnapshot(StoreEra(1), KeyVersion(10), 1s, {});
     sender.recordChanges({ { "a", "1", false } }, KeyVersion(12), 2s);
     DirectoryView receiver;
-    const auto update = [&](const DirectoryView& to) {
-        return sender.updateFor(to.era(), to.version(), true, 3s);
-    };
+    const auto update = [&](const DirectoryView& to) { return sender.updateFor(to.era(), to.version(), true, 3s); };
 
     SECTION("from its own version on")
     {
-        receiver.recordSnapshot(StoreEra(1), KeyVersion(11), 1s);
+        receiver.recordSnapshot(StoreEra(1), KeyVersion(11), 1s, {});
         CHECK(receiver.accept(update(receiver), 2s));
         CHECK(receiver.version() == KeyVersion(12));
-        CHECK(receiver.isRecent(3s, 2s));
+        // The sender knew that at 2 s, one second before it sent the update, which it did after 2 s of the receiver.
+        CHECK(receiver.provenAt() == 1s);
     }
 
     SECTION("and gets old if the sender doesn't have the changes")
     {
-        receiver.recordSnapshot(StoreEra(1), KeyVersion(9), 1s);
+        receiver.recordSnapshot(StoreEra(1), KeyVersion(9), 1s, {});
         CHECK_FALSE(receiver.accept(update(receiver), 2s));
         CHECK(receiver.version() == KeyVersion(9));
         CHECK_FALSE(receiver.isRecent(3s, 2s));
     }
 
+    SECTION("and has to be read as soon as it misses changes that others have")
+    {
+        receiver.recordSnapshot(StoreEra(1), KeyVersion(9), 2s, {});
+        CHECK_FALSE(receiver.accept(update(receiver), 2s));
+        CHECK(receiver.isRecent(2500ms, 3s));
+        CHECK_FALSE(receiver.isRecent(3s, 3s));
+    }
+
+    SECTION("also over a listing of the sender, which tells what has changed and what was removed")
+    {
+        sender.recordSnapshot(StoreEra(1), KeyVersion(15), 2s, { { "b", "2", false } });
+        receiver.recordSnapshot(StoreEra(1), KeyVersion(12), 1s, { { "a", "1", false } });
+        const DirectoryUpdate changes = update(receiver);
+        CHECK(receiver.accept(changes, 2s));
+        CHECK(changes.changes == std::vector<KeyItem> { { "b", "2", false }, { "a", "", true } });
+    }
+
     SECTION("and is read anew when the store has come back from an older copy")
     {
-        receiver.recordSnapshot(StoreEra(1), KeyVersion(20), 1s);
-        sender.recordSnapshot(StoreEra(2), KeyVersion(15), 2s);
+        receiver.recordSnapshot(StoreEra(1), KeyVersion(20), 1s, {});
+        sender.recordSnapshot(StoreEra(2), KeyVersion(15), 2s, {});
         CHECK_FALSE(receiver.accept(update(receiver), 2s));
         CHECK(receiver.version() == KeyVersion());
         CHECK_FALSE(receiver.isRecent(3s, hourLong));
 
         SECTION("and takes nothing from hosts that don't know of that")
         {
-            receiver.recordSnapshot(StoreEra(2), KeyVersion(15), 2s);
+            receiver.recordSnapshot(StoreEra(2), KeyVersion(15), 2s, {});
             DirectoryView outdated;
-            outdated.recordSnapshot(StoreEra(1), KeyVersion(21), 1s);
+            outdated.recordSnapshot(StoreEra(1), KeyVersion(21), 1s, {});
             outdated.recordChanges({ { "a", "old", false } }, KeyVersion(22), 3s);
             CHECK_FALSE(receiver.accept(outdated.updateFor(StoreEra(1), KeyVersion(21), true, 3s), 3s));
             CHECK(receiver.version() == KeyVersion(15));
--- a/packages/gateway/fuchsialb/src/Gateway/PrefixWatcher.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/PrefixWatcher.cpp
@@ -144,12 +144,17 @@
     if (listing.era < view->era())
         return false;
     const KeyVersion known = view->version();
-    if (snapshot && (known == KeyVersion() || listing.asOf >= known))
-        view->recordSnapshot(listing.era, listing.asOf, provenAt);
-    else if (!snapshot)
-        view->recordChanges(listing.items, listing.asOf, provenAt);
     // Another host may have passed on these changes, and later ones, before the store answered.
-    return known == KeyVersion() || listing.asOf > known || (snapshot && listing.asOf == known);
+    if (known != KeyVersion() && (snapshot ? listing.asOf < known : listing.asOf <= known)) {
+        if (listing.asOf == known)
+            view->recordChanges({}, listing.asOf, provenAt);
+        return false;
+    }
+    if (snapshot)
+        view->recordSnapshot(listing.era, listing.asOf, provenAt, listing.items, m_relistAt == Duration(0));
+    else
+        view->recordChanges(listing.items, listing.asOf, provenAt);
+    return true;
 }
 
 void PrefixWatcher::list(ReadFreshness freshness)
--- a/packages/gateway/fuchsialb/src/Gateway/StoreSession.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/StoreSession.cpp
@@ -26,10 +26,11 @@
     // than the age at which all hosts read by themselves.
     constexpr Duration leaderConfigurationWatchTimeout = std::chrono::milliseconds(1500);
     constexpr Duration configurationWatchTimeout = std::chrono::seconds(5);
-    constexpr Duration runnersWatchTimeout = std::chrono::milliseconds(2000);
+    constexpr Duration runnersWatchTimeout = std::chrono::milliseconds(1000);
     constexpr Duration hostsWatchTimeout = std::chrono::seconds(8);
-    // Ages of views at which a host that hears of no newer proof reads the store by itself.
-    constexpr Duration maxRunnersAge = std::chrono::milliseconds(2800);
+    // Ages of views at which a host that hears of no newer proof reads the store by itself. That of the registry is
+    // shorter than the time in which hosts must have stopped to use a runner that leaves.
+    constexpr Duration maxRunnersAge = std::chrono::milliseconds(1700);
     constexpr Duration maxHostsAge = std::chrono::seconds(11);
     // A proof takes this much longer through the leaders of cells.
     constexpr Duration cellRelayTime = std::chrono::milliseconds(500);
@@ -47,7 +48,8 @@
     , m_onSharedKey(std::move(onSharedKey))
     , m_onRunnerLeaving(std::move(onRunnerLeaving))
     , m_configuration(context,
-          { "configuration", context.translator.configurationKey(), [this] {
+          { "configuration", context.translator.configurationKey(),
+              [this] {
                   return m_context.hosts.isLeader(m_context.now()) ? leaderConfigurationWatchTimeout
                                                                    : configurationWatchTimeout;
               },
--- a/packages/gateway/fuchsialb/src/Gateway/StreamCall.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/StreamCall.cpp
@@ -318,8 +318,8 @@
     line.add("streams", static_cast<std::int64_t>(load.sequences));
     const EngineProfile* engine = m_matched.service->engine ? &*m_matched.service->engine : nullptr;
     if (const AcceleratorProfile* accelerator = engine ? engine->accelerator(runner->entry.accelerator) : nullptr)
-        line.add("capacity",
-            static_cast<std::int64_t>(engine->cacheCapacity(*accelerator, runner->entry.layers.count())));
+        line.add(
+            "capacity", static_cast<std::int64_t>(engine->cacheCapacity(*accelerator, runner->entry.layers.count())));
 }
 
 void StreamCall::handleRefusal(const RunnerResponse& runnerResponse, std::uint32_t status)
