Name the even share of a group's members

Cause: the linter refuses the narrowing of a size in a quotient. Change: one named constant, converted explicitly. Conclusion: no change of behaviour.

--- a/packages/core/fuchsialb/src/Fleet/PlacementLayout.cpp
+++ b/packages/core/fuchsialb/src/Fleet/PlacementLayout.cpp
@@ -130,10 +130,11 @@
     double groupStepTime(const Group& group, std::uint32_t layers, double streams, const EngineProfile& engine)
     {
         const double total = groupCacheTokens(group, layers, engine);
+        const double evenShare = 1 / static_cast<double>(group.size());
         double time = 0;
         for (const PlacementCandidate& member : group) {
             const double share
-                = total > 0 ? engine.cacheCapacity(*member.accelerator, layers) / layers / total : 1.0 / group.size();
+                = total > 0 ? engine.cacheCapacity(*member.accelerator, layers) / layers / total : evenShare;
             time += share * engine.stepTime(*member.accelerator, layers, std::max(1.0, streams * share));
         }
         return time;
