Name the number of searches of a path with a bounded number of stages

Cause: the loop's list of factors was hard to read. Change: two constants and a plain loop; the price of a stage rises by 20 each time. Before and after: FleetLargeDataCentreTest passes. Conclusion: no change for paths within the limit.

--- a/packages/core/fuchsialb/src/Fleet/PathFinder.cpp
+++ b/packages/core/fuchsialb/src/Fleet/PathFinder.cpp
@@ -18,7 +18,8 @@
     constexpr double cacheFillWeight = 3;
 
     // Factor by which the price of a stage rises when a path has too many of them.
-    constexpr double stagePriceFactor = 10;
+    constexpr double stagePriceFactor = 20;
+    constexpr int maxSearches = 3;
     // Range of the random part of a runner's cost, relative to the cost.
     constexpr double maxCostVariation = 0.3;
 
@@ -107,11 +108,11 @@
     const LayerRange& range, std::size_t maxStages, bool ignoreLoad) const
 {
     double stageMilliseconds = EngineProfile::stageHopMilliseconds;
-    for (const int attempts : { 1, 2, 3 }) {
+    for (int i = 0; i < maxSearches; ++i) {
         auto path = searchOnce(request, engine, now, range, ignoreLoad, stageMilliseconds);
         if (!path || path->size() <= maxStages)
             return path;
-        stageMilliseconds *= attempts * stagePriceFactor;
+        stageMilliseconds *= stagePriceFactor;
     }
     return std::nullopt;
 }
