Stop retries of a host that other hosts keep up to date

Change: a failed call is repeated only while this host needs to read the prefix by itself. Before: the new section of PrefixWatcherTest describes it; the code before listed a second time. After: the section passes. Conclusion: the readers of a data centre still retry.

--- a/packages/gateway/fuchsialb/src/Gateway/PrefixWatcher.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/PrefixWatcher.cpp
@@ -58,7 +58,8 @@
         if (failure)
             return;
         m_retryPending = false;
-        if (listing)
+        // While the store turns away this host only, others pass on the changes.
+        if (listing && (isNeeded() || version() == KeyVersion()))
             list(ReadFreshness::Newest);
         else
             proceed();
