--- a/packages/core/fuchsialb/src/Fleet/PlacementLayout.h
+++ b/packages/core/fuchsialb/src/Fleet/PlacementLayout.h
@@ -30,9 +30,9 @@
 ///
 /// Answers a load of more streams than one copy of the model can serve: with a single copy, all streams of a data
 /// centre start at one runner, pass every slow runner and stop at the loss of any runner. The sizes tried are bounded,
-/// and for each size the borders maximise the smallest KV cache, so the search takes at most 40 layouts for each order
-/// of the runners. \param list Order in which the runners are grouped; neighbours share a group. \return An empty
-/// layout when the runners can't hold the model.
+/// and for each size the borders maximise the smallest KV cache, so the search takes at most 40 layouts.
+/// \param list Order in which the runners are grouped; neighbours share a group.
+/// \return An empty layout when the runners can't hold the model.
 PlacementLayout bestLayout(const PlacementCandidates& list, const EngineProfile& engine);
 
 /// \brief As `bestLayout`, over the orders by speed and by memory of the accelerators.
