Log each update of a view with its source, versions and removals

Cause: when hosts kept a removed runner in use, no log told who had sent the update that moved their view past the removal, or what it held.

Change: an event directory-update for each change of a view, from a listing, a watch or another host, with era, versions from and to, number of changes and removals and the first removed keys. The hooks of the beats get the sender.

Measured: no change of logic, nothing measured.

--- a/packages/core/fuchsialb/src/Fleet/BeatExchange.cpp
+++ b/packages/core/fuchsialb/src/Fleet/BeatExchange.cpp
@@ -119,12 +119,12 @@
     beat.hosts = m_state.hostsView.updateFor(peer.era, peer.hostsVersion, sendsChanges, bootNow);
 }
 
-void BeatExchange::receiveDirectories(const HostBeat& beat, Duration echoedAt)
+void BeatExchange::receiveDirectories(const HostId& from, const HostBeat& beat, Duration echoedAt)
 {
     if (m_state.runnersView.accept(beat.runners, echoedAt) && m_hooks.onRunnersChanged)
-        m_hooks.onRunnersChanged(beat.runners);
+        m_hooks.onRunnersChanged(from, beat.runners);
     if (m_state.hostsView.accept(beat.hosts, echoedAt) && m_hooks.onHostsChanged)
-        m_hooks.onHostsChanged(beat.hosts);
+        m_hooks.onHostsChanged(from, beat.hosts);
 }
 
 void BeatExchange::addSuspicions(HostBeat& beat, Distance to, TimePoint now) const
@@ -317,7 +317,7 @@
         return std::nullopt;
     const Duration echoedAt = peer.sentAt[beat.echo % maxSentTimes];
     const Duration provenAt = echoedAt - beat.proofAge;
-    receiveDirectories(beat, echoedAt);
+    receiveDirectories(from, beat, echoedAt);
     m_state.configuration.confirm(beat.configuration, provenAt);
     if (beat.configurationText.empty() || beat.configuration <= m_state.configuration.version())
         return std::nullopt;
--- a/packages/core/fuchsialb/src/Fleet/BeatExchange.h
+++ b/packages/core/fuchsialb/src/Fleet/BeatExchange.h
@@ -46,8 +46,8 @@
 
     /// Called with changes of a prefix of the store that another host has passed on.
     struct Hooks {
-        std::function<void(const DirectoryUpdate& update)> onRunnersChanged;
-        std::function<void(const DirectoryUpdate& update)> onHostsChanged;
+        std::function<void(const HostId& from, const DirectoryUpdate& update)> onRunnersChanged;
+        std::function<void(const HostId& from, const DirectoryUpdate& update)> onHostsChanged;
     };
 
     struct Outgoing {
@@ -120,7 +120,7 @@
         const HostId& to, Peer& peer, TimePoint now, Duration bootNow, bool leaving, const std::string& text);
     void addLoads(HostBeat& beat, Distance to, TimePoint now) const;
     void addDirectories(HostBeat& beat, const Peer& peer, Distance to, TimePoint now, Duration bootNow) const;
-    void receiveDirectories(const HostBeat& beat, Duration echoedAt);
+    void receiveDirectories(const HostId& from, const HostBeat& beat, Duration echoedAt);
     void addSuspicions(HostBeat& beat, Distance to, TimePoint now) const;
     void receiveLoads(const HostId& from, HostBeat& beat, TimePoint now);
     /// Takes the load of all other cells from the leader of this one.
--- a/packages/core/tests/support/FleetDataCentre.h
+++ b/packages/core/tests/support/FleetDataCentre.h
@@ -32,7 +32,7 @@
         , directory(id, dataCentre)
         , beats({ id, dataCentre, std::string(name) + ":1", directory, ledger, runners, configuration, runnersView,
                     hostsView },
-              { [this](const DirectoryUpdate& update) {
+              { [this](const HostId&, const DirectoryUpdate& update) {
                    for (const KeyItem& change : update.changes)
                        registry[change.key] = change.value;
                },
--- a/packages/gateway/fuchsialb/src/Gateway/Gateway.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/Gateway.cpp
@@ -71,8 +71,12 @@
                 {} });
             m_requests.emplace(*m_context);
             m_peers.emplace(*m_context,
-                BeatExchange::Hooks { [this](const DirectoryUpdate& update) { m_storeSession->receiveRunners(update); },
-                    [this](const DirectoryUpdate& update) { m_storeSession->receiveHosts(update); } });
+                BeatExchange::Hooks { [this](const HostId& from, const DirectoryUpdate& update) {
+                                         m_storeSession->receiveRunners(from, update);
+                                     },
+                    [this](const HostId& from, const DirectoryUpdate& update) {
+                        m_storeSession->receiveHosts(from, update);
+                    } });
             m_storeSession.emplace(
                 *m_context, [this](const std::string& key) { m_peers->openTransport(key); },
                 [this](const EndpointId& runner) { m_requests->runnerLeaving(runner); });
--- a/packages/gateway/fuchsialb/src/Gateway/PrefixWatcher.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/PrefixWatcher.cpp
@@ -1,5 +1,7 @@
 #include "PrefixWatcher.h"
 
+#include "DirectoryLog.h"
+
 #include <algorithm>
 
 namespace fuchsialb {
@@ -151,6 +153,9 @@
             view->recordChanges({}, listing.asOf, provenAt);
         return false;
     }
+    if (snapshot || !listing.items.empty())
+        logDirectoryUpdate(m_context.log, { m_options.name, snapshot ? "listing" : "watch" }, listing.era, known,
+            listing.asOf, listing.items);
     if (snapshot)
         view->recordSnapshot(listing.era, listing.asOf, provenAt, listing.items, m_relistAt == Duration(0));
     else
--- a/packages/gateway/fuchsialb/src/Gateway/StoreSession.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/StoreSession.cpp
@@ -1,5 +1,7 @@
 #include "StoreSession.h"
 
+#include "DirectoryLog.h"
+
 #include <set>
 
 #include <nlohmann/json.hpp>
@@ -128,13 +130,17 @@
         });
 }
 
-void StoreSession::receiveRunners(const DirectoryUpdate& update)
+void StoreSession::receiveRunners(const HostId& from, const DirectoryUpdate& update)
 {
+    logDirectoryUpdate(
+        m_context.log, { "runners", from.value() }, update.era, update.from, update.version, update.changes);
     applyRunners({ update.changes, update.version, update.era }, false);
 }
 
-void StoreSession::receiveHosts(const DirectoryUpdate& update)
+void StoreSession::receiveHosts(const HostId& from, const DirectoryUpdate& update)
 {
+    logDirectoryUpdate(
+        m_context.log, { "hosts", from.value() }, update.era, update.from, update.version, update.changes);
     applyHosts({ update.changes, update.version, update.era }, false);
 }
 
--- a/packages/gateway/fuchsialb/src/Gateway/StoreSession.h
+++ b/packages/gateway/fuchsialb/src/Gateway/StoreSession.h
@@ -25,8 +25,8 @@
     /// \param heard Newest version of the configuration that other hosts have.
     void tick(ConfigurationVersion heard);
     /// Applies changes that another host has passed on.
-    void receiveRunners(const DirectoryUpdate& update);
-    void receiveHosts(const DirectoryUpdate& update);
+    void receiveRunners(const HostId& from, const DirectoryUpdate& update);
+    void receiveHosts(const HostId& from, const DirectoryUpdate& update);
     /// Ends the registration of this host.
     void unregisterHost();
 
