Heed what a runner's responses say of itself: leaving, and no requests for a while

Cause: callers' requests went on to a runner that had said that it leaves, until the registry told, and to a runner that had turned one away and asked for a pause. Neither header was read.

Change: a runner that says in any response that it leaves counts as draining from then on, whatever the registry says, until it has started anew; beats pass that on inside the data centre. A runner that turns a request away for a time gets no requests, reports or orders of this host until it is over, spread by up to a fifth so that hosts don't return at once. If no other runner can serve, the caller is refused at once with the time until the first of them may be used. Times that aren't valid are counted and ignored, very long ones are bounded.

Evidence: core.FleetRunnerNoticesTest; platform.RunnerNoticesTest, which fails in eight checks with the notices ignored (requests to a leaving runner, 503 again within the time).

--- a/packages/core/fuchsialb/src/Fleet/BeatExchange.cpp
+++ b/packages/core/fuchsialb/src/Fleet/BeatExchange.cpp
@@ -80,6 +80,8 @@
     }
     addLoads(beat, distance(to), now);
     addSuspicions(beat, distance(to), now);
+    if (distance(to) != Distance::OtherDataCentre)
+        beat.leavingRunners = m_state.runners.leavingAheadOfRegistry();
     addDirectories(beat, peer, distance(to), now, bootNow);
     return beat;
 }
@@ -127,6 +129,14 @@
         m_hooks.onHostsChanged(from, beat.hosts);
 }
 
+void BeatExchange::receiveLeavingRunners(const HostId& from, const HostBeat& beat)
+{
+    for (const RunnerLeaving& leaving : beat.leavingRunners) {
+        if (m_state.runners.recordLeaving(leaving) && m_hooks.onRunnerLeaving)
+            m_hooks.onRunnerLeaving(from, leaving);
+    }
+}
+
 void BeatExchange::addSuspicions(HostBeat& beat, Distance to, TimePoint now) const
 {
     if (to == Distance::OtherDataCentre)
@@ -309,6 +319,7 @@
             if (relayed.until < now + suspicion.left)
                 relayed = { now + suspicion.left, distance(from) };
         }
+        receiveLeavingRunners(from, beat);
     }
     // The peer sent this beat after it had received the echoed one, so its configuration was the newest no earlier than
     // the echoed beat was sent, less the stated age of the proof. The time is one of this host's own clock.
--- a/packages/core/fuchsialb/src/Fleet/BeatExchange.h
+++ b/packages/core/fuchsialb/src/Fleet/BeatExchange.h
@@ -20,9 +20,9 @@
 /// All hosts of a cell exchange beats. Between the cells of a data centre only the leaders of the cells do, with the
 /// total load of their cell, so that the beats of a host grow with the square root of the hosts. Between data centres
 /// only the leaders of the data centres do, with the total load of their data centre, since traffic between data
-/// centres is expensive. Beats carry the load (so that all hosts admit against the same total), runners found dead (so
-/// that other hosts needn't detect them by failed requests), and the proof that a configuration is the newest (so that
-/// a host cut off from the store can still trust its configuration).
+/// centres is expensive. Beats carry the load (so that all hosts admit against the same total), runners found dead or
+/// leaving (so that other hosts needn't detect them by failed requests), and the proof that a configuration is the
+/// newest (so that a host cut off from the store can still trust its configuration).
 ///
 /// Beats inside a data centre also carry changes of the registry and of the list of hosts, from the hosts that watch
 /// the store to the leaders of cells and from there to their cells.
@@ -48,6 +48,8 @@
     struct Hooks {
         std::function<void(const HostId& from, const DirectoryUpdate& update)> onRunnersChanged;
         std::function<void(const HostId& from, const DirectoryUpdate& update)> onHostsChanged;
+        /// Called for a runner that counts as draining since the beat of another host, ahead of the registry.
+        std::function<void(const HostId& from, const RunnerLeaving& leaving)> onRunnerLeaving;
     };
 
     struct Outgoing {
@@ -122,6 +124,7 @@
     void addDirectories(HostBeat& beat, const Peer& peer, Distance to, TimePoint now, Duration bootNow) const;
     void receiveDirectories(const HostId& from, const HostBeat& beat, Duration echoedAt);
     void addSuspicions(HostBeat& beat, Distance to, TimePoint now) const;
+    void receiveLeavingRunners(const HostId& from, const HostBeat& beat);
     void receiveLoads(const HostId& from, HostBeat& beat, TimePoint now);
     /// Takes the load of all other cells from the leader of this one.
     void receiveOtherCells(const HostId& from, HostBeat& beat, TimePoint now);
--- a/packages/core/fuchsialb/src/Fleet/HostBeat.h
+++ b/packages/core/fuchsialb/src/Fleet/HostBeat.h
@@ -4,6 +4,7 @@
 #include "../Base/Units.h"
 #include "DirectoryView.h"
 #include "LoadLedger.h"
+#include "RunnerDirectory.h"
 
 #include <cstdint>
 #include <string>
@@ -59,6 +60,8 @@
     /// Loads that the sender received from other data centres; empty in a beat to another data centre.
     std::vector<DataCentreLoad> remote;
     std::vector<RunnerSuspicion> suspicions;
+    /// Runners that told the sender, or a host that it heard from, that they leave.
+    std::vector<RunnerLeaving> leavingRunners;
     /// The sender's view of the registry of runners and of the list of hosts.
     DirectoryUpdate runners;
     DirectoryUpdate hosts;
--- a/packages/core/fuchsialb/src/Fleet/RunnerDirectory.cpp
+++ b/packages/core/fuchsialb/src/Fleet/RunnerDirectory.cpp
@@ -11,6 +11,10 @@
     constexpr Duration maxSuspension = std::chrono::seconds(6);
     // A runner that answered this host within this time is not dead, whatever another host reports.
     constexpr Duration successTrustPeriod = std::chrono::milliseconds(300);
+    // A runner that is to be left alone for longer leaves the registry, so a larger value is more likely an error.
+    constexpr Duration maxRest = std::chrono::minutes(5);
+    // Statements of runners that are gone are dropped beyond this number.
+    constexpr std::size_t maxLeaving = 1024;
 
 } // namespace
 
@@ -25,8 +29,73 @@
     Runner& runner = m_runners[entry.id];
     if (runner.entry.startedAt != entry.startedAt)
         runner = {};
+    runner.drainingInRegistry = entry.draining;
     runner.entry = std::move(entry);
     runner.missing = false;
+    applyLeaving(runner);
+}
+
+void RunnerDirectory::applyLeaving(Runner& runner)
+{
+    const auto said = m_leaving.find(runner.entry.id);
+    if (said == m_leaving.end())
+        return;
+    if (runner.entry.startedAt > said->second)
+        m_leaving.erase(said);
+    else
+        runner.entry.draining = true;
+}
+
+bool RunnerDirectory::recordLeaving(const RunnerLeaving& leaving)
+{
+    const auto found = m_runners.find(leaving.runner);
+    if (found == m_runners.end() || leaving.startedAt < found->second.entry.startedAt)
+        return false;
+    const auto [said, isNew] = m_leaving.try_emplace(leaving.runner, leaving.startedAt);
+    said->second = std::max(said->second, leaving.startedAt);
+    limitLeaving();
+    const bool wasDraining = std::exchange(found->second.entry.draining, true);
+    return isNew && !wasDraining;
+}
+
+void RunnerDirectory::limitLeaving()
+{
+    if (m_leaving.size() > maxLeaving)
+        std::erase_if(m_leaving, [&](const auto& said) { return !m_runners.contains(said.first); });
+}
+
+std::vector<RunnerLeaving> RunnerDirectory::leavingAheadOfRegistry() const
+{
+    std::vector<RunnerLeaving> list;
+    for (const auto& [id, startedAt] : m_leaving) {
+        if (const Runner* runner = find(id); runner && !runner->drainingInRegistry && !runner->missing)
+            list.push_back({ id, startedAt });
+    }
+    return list;
+}
+
+void RunnerDirectory::recordRest(const EndpointId& id, TimePoint now, Duration rest)
+{
+    if (const auto found = m_runners.find(id); found != m_runners.end())
+        found->second.restUntil = std::max(found->second.restUntil, now + std::min(rest, maxRest));
+}
+
+std::optional<TimePoint> RunnerDirectory::earliestRestEnd(const TargetId& service, TimePoint now) const
+{
+    std::optional<TimePoint> earliest;
+    for (const auto& [id, runner] : m_runners) {
+        if (runner.entry.service != service || runner.entry.draining || !runner.resting(now))
+            continue;
+        if (!earliest || runner.restUntil < *earliest)
+            earliest = runner.restUntil;
+    }
+    return earliest;
+}
+
+bool RunnerDirectory::hasUsable(const TargetId& service, TimePoint now) const
+{
+    return std::any_of(m_runners.begin(), m_runners.end(),
+        [&](const auto& item) { return item.second.entry.service == service && item.second.usable(now); });
 }
 
 void RunnerDirectory::recordMissing(const EndpointId& id)
@@ -122,6 +191,7 @@
     if (startedAt != 0 && startedAt != found->second.entry.startedAt) {
         RunnerEntry restarted = found->second.entry;
         restarted.startedAt = startedAt;
+        restarted.draining = found->second.drainingInRegistry;
         const bool missing = found->second.missing;
         put(std::move(restarted));
         found->second.missing = missing;
--- a/packages/core/fuchsialb/src/Fleet/RunnerDirectory.h
+++ b/packages/core/fuchsialb/src/Fleet/RunnerDirectory.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -28,10 +29,22 @@
     bool operator==(const RunnerEntry&) const = default;
 };
 
+/// \brief A runner's own statement, in an answer, that it leaves; bound to one start of its process.
+struct RunnerLeaving {
+    EndpointId runner;
+    /// As in `RunnerEntry`.
+    std::int64_t startedAt = 0;
+
+    bool operator==(const RunnerLeaving&) const = default;
+};
+
 /// \brief Known runners, their reported state, and their health as seen by requests.
 ///
 /// A runner that fails requests is suspended for a time that doubles with each consecutive failure; a success resets
 /// the count. A restart under the same id clears the recorded failures.
+///
+/// A runner that has said that it leaves counts as draining whatever the registry says, until it starts again. A runner
+/// that has asked for rest is used by this host again when the time is over.
 class RunnerDirectory {
 public:
     struct Runner {
@@ -49,8 +62,13 @@
         TimePoint succeededAt {};
         /// Whether the registry lacks it.
         bool missing = false;
+        /// Whether the registry says that it drains; `entry.draining` also reflects what the runner said itself.
+        bool drainingInRegistry = false;
+        /// It wants no requests of this host before this time.
+        TimePoint restUntil {};
 
-        bool usable(TimePoint now) const { return !entry.draining && now >= suspendedUntil; }
+        bool resting(TimePoint now) const { return now < restUntil; }
+        bool usable(TimePoint now) const { return !entry.draining && now >= suspendedUntil && !resting(now); }
         bool dead(TimePoint now) const { return markedDead && now < suspendedUntil; }
         /// \return Whether another host found it dead and this one hasn't.
         bool deadByPeerOnly(TimePoint now) const { return dead(now) && !markedDeadLocally; }
@@ -99,8 +117,26 @@
     /// Records that the runner has begun one more order.
     void recordOrder(const EndpointId& id);
 
+    /// Records that a runner has said that it leaves, to this host or to another one.
+    /// \return Whether the runner counts as draining only since then.
+    bool recordLeaving(const RunnerLeaving& leaving);
+    /// \return The statements of runners of which the registry doesn't say yet that they drain.
+    std::vector<RunnerLeaving> leavingAheadOfRegistry() const;
+    /// Records that a runner wants no requests of this host for `rest`, up to a limit.
+    void recordRest(const EndpointId& id, TimePoint now, Duration rest);
+    bool hasUsable(const TargetId& service, TimePoint now) const;
+    /// \return The earliest end of a rest of the service's runners that don't drain; none if none rests.
+    std::optional<TimePoint> earliestRestEnd(const TargetId& service, TimePoint now) const;
+
 private:
+    /// Lets the entry reflect what the runner said itself, unless it has started again since.
+    void applyLeaving(Runner& runner);
+    void limitLeaving();
+
     Runners m_runners;
+    /// Start of the process that said that it leaves; kept while the registry lacks a runner, since an outdated
+    /// registry may name it again.
+    std::map<EndpointId, std::int64_t> m_leaving;
 };
 
 } // namespace fuchsialb
--- a/packages/core/tests/support/FleetDataCentre.h
+++ b/packages/core/tests/support/FleetDataCentre.h
@@ -36,7 +36,7 @@
                    for (const KeyItem& change : update.changes)
                        registry[change.key] = change.value;
                },
-                  {} })
+                  {}, {} })
     {
     }
 
--- a/packages/gateway/fuchsialb/src/Gateway/Call.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/Call.cpp
@@ -72,6 +72,16 @@
     return runnerResponse.isSigned && !runnerResponse.encoded && runnerResponse.requestId == m_matched.request.id;
 }
 
+Duration Call::retryAfterRest(Duration usual)
+{
+    const TimePoint now = m_context.now();
+    const auto restEnd = m_context.runners.earliestRestEnd(m_matched.service->name, now);
+    // Spreads the callers that wait for the same runners.
+    constexpr double maxSpread = 0.2;
+    return restEnd ? std::chrono::duration_cast<Duration>((*restEnd - now) * (1 + maxSpread * m_context.random.unit()))
+                   : usual;
+}
+
 void Call::watchCaller()
 {
     m_reply->onClosed([weak = weak_from_this()] {
--- a/packages/gateway/fuchsialb/src/Gateway/Gateway.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/Gateway.cpp
@@ -4,6 +4,7 @@
 #include "PeerExchange.h"
 #include "PlacementCoordinator.h"
 #include "RequestDispatcher.h"
+#include "RunnerNotices.h"
 #include "StoreSession.h"
 
 #include <asio/post.hpp>
@@ -76,10 +77,12 @@
                                      },
                     [this](const HostId& from, const DirectoryUpdate& update) {
                         m_storeSession->receiveHosts(from, update);
+                    },
+                    [this](const HostId& from, const RunnerLeaving& leaving) {
+                        reportRunnerLeaving(*m_context, leaving, from.value());
                     } });
-            m_storeSession.emplace(
-                *m_context, [this](const std::string& key) { m_peers->openTransport(key); },
-                [this](const EndpointId& runner) { m_requests->runnerLeaving(runner); });
+            m_context->onRunnerLeaving = [this](const EndpointId& runner) { m_requests->runnerLeaving(runner); };
+            m_storeSession.emplace(*m_context, [this](const std::string& key) { m_peers->openTransport(key); });
             m_placement.emplace(*m_context);
             absl::Status status = listenOn(m_callerServer, m_settings.callerAddress, m_loop,
                 [this](ServerRequest request, const std::shared_ptr<HttpReply>& reply) {
--- a/packages/gateway/fuchsialb/src/Gateway/GatewayContext.h
+++ b/packages/gateway/fuchsialb/src/Gateway/GatewayContext.h
@@ -6,6 +6,8 @@
 
 #include <asio/io_context.hpp>
 
+#include <functional>
+
 namespace fuchsialb {
 
 /// \brief State and services that the components of a gateway share. Not thread-safe: used on the event loop only.
@@ -38,6 +40,8 @@
     /// Positions of this host's views of the registry of runners and of the list of hosts.
     DirectoryView runnersView {};
     DirectoryView hostsView {};
+    /// Called for a runner that starts to drain or was removed from the registry.
+    std::function<void(const EndpointId& runner)> onRunnerLeaving {};
 
     TimePoint now() const { return clock.now(); }
 };
--- a/packages/gateway/fuchsialb/src/Gateway/StoreSession.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/StoreSession.cpp
@@ -45,10 +45,9 @@
 
 } // namespace
 
-StoreSession::StoreSession(GatewayContext& context, OnSharedKey onSharedKey, OnRunnerLeaving onRunnerLeaving)
+StoreSession::StoreSession(GatewayContext& context, OnSharedKey onSharedKey)
     : m_context(context)
     , m_onSharedKey(std::move(onSharedKey))
-    , m_onRunnerLeaving(std::move(onRunnerLeaving))
     , m_configuration(context,
           { "configuration", context.translator.configurationKey(),
               [this] {
@@ -251,7 +250,7 @@
     for (const EndpointId& id : activeBefore) {
         const RunnerDirectory::Runner* runner = m_context.runners.find(id);
         if (!runner || runner->entry.draining)
-            m_onRunnerLeaving(id);
+            m_context.onRunnerLeaving(id);
     }
     removeMissingRunners();
 }
@@ -266,14 +265,14 @@
         line.add("as_of", static_cast<std::int64_t>(m_context.registryVersion.value()));
         m_context.log.log(line);
         if (!entry.draining)
-            m_onRunnerLeaving(entry.id);
+            m_context.onRunnerLeaving(entry.id);
     }
 }
 
 void StoreSession::logRunnerChange(const RunnerEntry& entry, KeyVersion asOf)
 {
     const RunnerDirectory::Runner* known = m_context.runners.find(entry.id);
-    if (known && known->entry.layers == entry.layers && known->entry.draining == entry.draining)
+    if (known && known->entry.layers == entry.layers && known->drainingInRegistry == entry.draining)
         return;
     LogLine line("runner-changed");
     line.add("runner", entry.id.value()).add("draining", entry.draining ? 1 : 0);
--- a/packages/gateway/fuchsialb/src/Gateway/StoreSession.h
+++ b/packages/gateway/fuchsialb/src/Gateway/StoreSession.h
@@ -15,11 +15,9 @@
 class StoreSession {
 public:
     using OnSharedKey = std::function<void(const std::string& key)>;
-    using OnRunnerLeaving = std::function<void(const EndpointId& runner)>;
 
     /// \param onSharedKey Called with the key that all hosts share.
-    /// \param onRunnerLeaving Called for each runner that starts to drain or is removed from the registry.
-    StoreSession(GatewayContext& context, OnSharedKey onSharedKey, OnRunnerLeaving onRunnerLeaving);
+    StoreSession(GatewayContext& context, OnSharedKey onSharedKey);
     void start();
     /// \brief Reads what gets old; called several times a second.
     /// \param heard Newest version of the configuration that other hosts have.
@@ -55,7 +53,6 @@
 
     GatewayContext& m_context;
     OnSharedKey m_onSharedKey;
-    OnRunnerLeaving m_onRunnerLeaving;
     PrefixWatcher m_configuration;
     PrefixWatcher m_runners;
     PrefixWatcher m_hosts;
--- a/packages/gateway/fuchsialb/src/Gateway/StreamCall.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/StreamCall.cpp
@@ -1,6 +1,7 @@
 #include "StreamCall.h"
 
 #include "RunnerControl.h"
+#include "RunnerNotices.h"
 
 namespace fuchsialb {
 
@@ -173,7 +174,8 @@
 {
     const TimePoint now = m_context.now();
     const Duration left = timeLeft(now);
-    respond(GatewayError::NotRun, cause, AdmissionPolicy::retryAfter(m_meanDuration, left, m_context.random.unit()));
+    const Duration usual = AdmissionPolicy::retryAfter(m_meanDuration, left, m_context.random.unit());
+    respond(GatewayError::NotRun, cause, canBeServed(now) ? usual : retryAfterRest(usual));
 }
 
 void StreamCall::startRun(Path path)
@@ -181,6 +183,8 @@
     const TimePoint now = m_context.now();
     m_path = std::move(path);
     m_history.recordRun(m_path.front().runner);
+    if (const RunnerDirectory::Runner* first = m_context.runners.find(m_path.front().runner))
+        m_firstStartedAt = first->entry.startedAt;
     m_context.ledger.reserve(m_path, expectedTokens());
     ++m_runs;
     m_splitter = {};
@@ -239,8 +243,10 @@
 
 bool StreamCall::handleHead(const HttpResponse& head)
 {
-    if (!isAuthentic(m_context.translator.runnerResponse(head)))
+    const RunnerResponse runnerResponse = m_context.translator.runnerResponse(head);
+    if (!isAuthentic(runnerResponse))
         return false;
+    recordRunnerNotices(m_context, { m_path.front().runner, m_firstStartedAt }, runnerResponse, head.status);
     if (!m_head)
         m_head = head;
     return true;
@@ -276,6 +282,7 @@
 void StreamCall::handleResponse(HttpResponse response)
 {
     const RunnerResponse runnerResponse = m_context.translator.runnerResponse(response);
+    recordRunnerNotices(m_context, { m_path.front().runner, m_firstStartedAt }, runnerResponse, response.status);
     const bool succeeded = response.status >= 200 && response.status < 300;
     if (succeeded && m_head) {
         if (m_splitter.hasPartialEvent()) {
@@ -555,7 +562,8 @@
 bool StreamCall::reroute(const EndpointId& runner, TimePoint now)
 {
     m_nextRerouteAt = now + rerouteRetryInterval;
-    if (!m_matched.service->engine)
+    const RunnerDirectory::Runner* first = m_context.runners.find(m_path.front().runner);
+    if (!m_matched.service->engine || (first && first->resting(now)))
         return false;
     const PathFinder finder(m_context.runners, m_context.ledger);
     auto newPath = finder.replaceStage(m_path, runner, pathRequest(resumeCacheLimit), *m_matched.service->engine, now);
--- a/packages/gateway/fuchsialb/src/Gateway/StreamCall.h
+++ b/packages/gateway/fuchsialb/src/Gateway/StreamCall.h
@@ -85,6 +85,8 @@
     const Duration& m_meanDuration;
     OnRunnerLost m_onRunnerLost;
     Path m_path;
+    /// Start of the process of the first runner on the path, as known when the request was sent there.
+    std::int64_t m_firstStartedAt = 0;
     std::optional<HttpExchangeId> m_exchange;
     /// Incremented for each run, so that late callbacks of an earlier one are ignored.
     std::uint32_t m_runs = 0;
--- a/packages/gateway/fuchsialb/src/Gateway/Translator.h
+++ b/packages/gateway/fuchsialb/src/Gateway/Translator.h
@@ -63,6 +63,13 @@
     bool encoded = false;
     /// "IP:port" of the runner on the path that caused the failure, if reported.
     std::string faultAddress;
+    /// The runner shuts down.
+    bool leaving = false;
+    /// Time for which the runner, which has turned the request away, wants no requests of this host; 0 if it asks for
+    /// none.
+    Duration rest { 0 };
+    /// The response names a time, but not a valid one.
+    bool restUnreadable = false;
 };
 
 /// \brief A request that is blocked at a runner, waiting for another runner on its path.
--- a/packages/gateway/fuchsialb/src/Gateway/UnaryCall.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/UnaryCall.cpp
@@ -1,5 +1,7 @@
 #include "UnaryCall.h"
 
+#include "RunnerNotices.h"
+
 namespace fuchsialb {
 
 namespace {
@@ -38,7 +40,13 @@
 {
     watchCaller();
     if (!send())
-        respond(GatewayError::NotRun, "no-endpoint", refusalRetryAfter);
+        respond(GatewayError::NotRun, "no-endpoint", retryDelay());
+}
+
+Duration UnaryCall::retryDelay()
+{
+    return m_context.runners.hasUsable(m_matched.service->name, m_context.now()) ? refusalRetryAfter
+                                                                                 : retryAfterRest(refusalRetryAfter);
 }
 
 bool UnaryCall::send()
@@ -48,6 +56,7 @@
     if (!runner)
         return false;
     m_endpoint = runner->entry.id;
+    m_endpointStartedAt = runner->entry.startedAt;
     m_context.ledger.reserve({ { m_endpoint, runner->entry.address, {} } }, 0);
     ++m_run;
     ++m_attempts;
@@ -96,6 +105,7 @@
 {
     const TimePoint now = m_context.now();
     const RunnerResponse runnerResponse = m_context.translator.runnerResponse(response);
+    recordRunnerNotices(m_context, { m_endpoint, m_endpointStartedAt }, runnerResponse, response.status);
     releaseEndpoint();
     m_excluded.insert(m_endpoint);
     if (runnerResponse.notRun || response.status == statusMisdirectedRequest) {
@@ -107,7 +117,7 @@
         else if (m_mayHaveRun)
             respond(GatewayError::Failed, "refused-by-endpoint");
         else
-            respond(GatewayError::NotRun, "refused-by-endpoint", refusalRetryAfter);
+            respond(GatewayError::NotRun, "refused-by-endpoint", retryDelay());
         return;
     }
     m_mayHaveRun = true;
@@ -151,7 +161,7 @@
     else if (m_mayHaveRun)
         respond(GatewayError::Failed, cause);
     else
-        respond(GatewayError::NotRun, cause, refusalRetryAfter);
+        respond(GatewayError::NotRun, cause, retryDelay());
 }
 
 void UnaryCall::tick(TimePoint now)
--- a/packages/gateway/fuchsialb/src/Gateway/UnaryCall.h
+++ b/packages/gateway/fuchsialb/src/Gateway/UnaryCall.h
@@ -24,11 +24,14 @@
     void handleResponse(HttpResponse response);
     void handleFailure(const HttpFailure& failure);
     void releaseEndpoint();
+    /// \return Delay before the caller should retry a request that wasn't run.
+    Duration retryDelay();
     /// Takes a retry from the budget if the request may be retried.
     bool mayRetry(TimePoint now);
 
     std::optional<HttpExchangeId> m_exchange;
     EndpointId m_endpoint;
+    std::int64_t m_endpointStartedAt = 0;
     std::uint64_t m_run = 0;
     /// Endpoints that may have run the request, or that refused it.
     std::uint32_t m_attempts = 0;
--- a/packages/wire/fuchsialb/src/Wire/PeerMessageDecode.cpp
+++ b/packages/wire/fuchsialb/src/Wire/PeerMessageDecode.cpp
@@ -334,6 +334,7 @@
         to.otherCells = decodeLoads(in, from.other_cells());
         in.require(from.remote_size() <= internal::maxRemoteLoads, "too many data centres");
         in.require(from.suspicions_size() <= internal::maxRunnerLoads, "too many suspicions");
+        in.require(from.leaving_runners_size() <= internal::maxRunnerLoads, "too many leaving runners");
         if (!in.status().ok())
             return to;
         for (const wire::DataCentreLoad& remote : from.remote())
@@ -342,6 +343,9 @@
         for (const wire::RunnerSuspicion& suspicion : from.suspicions())
             to.suspicions.push_back({ in.id<EndpointId>(suspicion.runner(), "suspicion.runner"),
                 in.duration(suspicion.left_us(), "suspicion.left_us") });
+        for (const wire::RunnerLeaving& leaving : from.leaving_runners())
+            to.leavingRunners.push_back(
+                { in.id<EndpointId>(leaving.runner(), "leaving.runner"), leaving.started_at() });
         to.runners = decode(in, from.runners());
         to.hosts = decode(in, from.hosts());
         return to;
--- a/packages/wire/fuchsialb/src/Wire/PeerMessageEncode.cpp
+++ b/packages/wire/fuchsialb/src/Wire/PeerMessageEncode.cpp
@@ -242,6 +242,11 @@
                 added.set_runner(suspicion.runner.value());
                 added.set_left_us(micros(suspicion.left));
             }
+            for (const RunnerLeaving& leaving : from.leavingRunners) {
+                wire::RunnerLeaving& added = *to.add_leaving_runners();
+                added.set_runner(leaving.runner.value());
+                added.set_started_at(leaving.startedAt);
+            }
             encodeDirectory(from.runners, *to.mutable_runners());
             encodeDirectory(from.hosts, *to.mutable_hosts());
         }
--- a/packages/wire/tests/support/PeerMessages.cpp
+++ b/packages/wire/tests/support/PeerMessages.cpp
@@ -80,6 +80,8 @@
             drawn.remote.push_back({ DataCentreId(id(below)), loads(below) });
         for (std::uint64_t i = below(3); i > 0; --i)
             drawn.suspicions.push_back({ EndpointId(id(below)), duration(below) });
+        for (std::uint64_t i = below(3); i > 0; --i)
+            drawn.leavingRunners.push_back({ EndpointId(id(below)), static_cast<std::int64_t>(below(anyNumber)) });
         drawn.runners = directory(below);
         drawn.hosts = directory(below);
         return drawn;
