Learn from refused orders that change a path

Cause: a runner that was ordered to hold other layers serves the streams that pass through it to their end, but refuses an order that names the layers that it no longer holds. The order replaced the stage that leaves and left that one as it was, so each repetition was refused; each refusal also suspended a runner that served well. The class: an order repeated with nothing learnt from its refusal.

Change: PathRepair decides what follows a refusal: a stage that the order left as it was is replaced as well, a new stage is avoided, and otherwise no order is sent again. PathFinder replaces several stages at once. The event path-changed names the runner at fault, its stage and what this host believes of it.

--- a/packages/core/fuchsialb/Fleet.h
+++ b/packages/core/fuchsialb/Fleet.h
@@ -15,6 +15,7 @@
 #include "src/Fleet/LinkBudget.h"
 #include "src/Fleet/LoadLedger.h"
 #include "src/Fleet/PathFinder.h"
+#include "src/Fleet/PathRepair.h"
 #include "src/Fleet/PlacementDriver.h"
 #include "src/Fleet/PlacementPlanner.h"
 #include "src/Fleet/RoutingTable.h"
--- a/packages/core/fuchsialb/src/Fleet/PathFinder.cpp
+++ b/packages/core/fuchsialb/src/Fleet/PathFinder.cpp
@@ -104,6 +104,22 @@
     return updated;
 }
 
+std::optional<Path> PathFinder::replaceStages(const Path& path, const std::set<EndpointId>& replaced,
+    const PathRequest& request, const EngineProfile& engine, TimePoint now) const
+{
+    PathRequest subrequest = request;
+    subrequest.excluded.insert(replaced.begin(), replaced.end());
+    std::optional<Path> updated;
+    for (const PathStage& stage : path) {
+        if (!replaced.contains(stage.runner))
+            continue;
+        updated = replaceStage(updated ? *updated : path, stage.runner, subrequest, engine, now);
+        if (!updated)
+            return std::nullopt;
+    }
+    return updated;
+}
+
 std::optional<Path> PathFinder::searchBounded(const PathRequest& request, const EngineProfile& engine, TimePoint now,
     const LayerRange& range, std::size_t maxStages, bool ignoreLoad) const
 {
--- a/packages/core/fuchsialb/src/Fleet/PathFinder.h
+++ b/packages/core/fuchsialb/src/Fleet/PathFinder.h
@@ -57,6 +57,11 @@
     /// other runners with capacity hold its layers.
     std::optional<Path> replaceStage(const Path& path, const EndpointId& replaced, const PathRequest& request,
         const EngineProfile& engine, TimePoint now) const;
+    /// \brief Replaces several stages of a path in use, none of them by another one of them.
+    /// \param replaced Those that aren't on the path are ignored.
+    /// \return The whole path, or nothing when one of the stages can't be replaced or none is on the path.
+    std::optional<Path> replaceStages(const Path& path, const std::set<EndpointId>& replaced,
+        const PathRequest& request, const EngineProfile& engine, TimePoint now) const;
     /// \return Whether a path would exist if no runner had any load, so that the request can be queued.
     bool feasibleWhenIdle(const PathRequest& request, const EngineProfile& engine, TimePoint now) const;
     /// \return Fraction of the KV cache in use over all usable runners that hold layers of the service.
--- a/packages/core/tests/FleetPathTest.cpp
+++ b/packages/core/tests/FleetPathTest.cpp
@@ -159,6 +159,29 @@
         }
     }
 
+    SECTION("several stages are replaced together, none of them by another one of them")
+    {
+        const auto path = finder.find(request, engine, now);
+        REQUIRE(path);
+        std::set<EndpointId> leaving;
+        for (const int i : { 1, 2 }) {
+            RunnerEntry entry = placedEntries(4)[static_cast<std::size_t>(i)];
+            leaving.insert(entry.id);
+            CHECK_FALSE(finder.replaceStages(*path, leaving, request, engine, now));
+            entry.id = EndpointId("copy-" + std::to_string(i));
+            entry.address = "10.1.0.9" + std::to_string(i) + ":80";
+            directory.put(entry);
+        }
+        const auto changed = finder.replaceStages(*path, leaving, request, engine, now);
+        REQUIRE(changed);
+        CHECK(coversAllOnce(*changed, engine.layers));
+        CHECK(std::none_of(
+            changed->begin(), changed->end(), [&](const PathStage& stage) { return leaving.contains(stage.runner); }));
+        CHECK(changed->front().runner == path->front().runner);
+        CHECK(changed->back().runner == path->back().runner);
+        CHECK_FALSE(finder.replaceStages(*path, { EndpointId("elsewhere") }, request, engine, now));
+    }
+
     SECTION("draining runners are excluded")
     {
         for (RunnerEntry entry : placedEntries(4)) {
--- a/packages/gateway/fuchsialb/src/Gateway/StreamCall.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/StreamCall.cpp
@@ -384,7 +384,7 @@
 void StreamCall::releasePath()
 {
     m_exchange.reset();
-    m_leavingStages.clear();
+    m_repair.clear();
     m_pathChangePending = false;
     m_context.ledger.release(std::exchange(m_path, {}), expectedTokens());
 }
@@ -431,8 +431,8 @@
     }
     if (!m_exchange || !m_stallDetector)
         return;
-    if (!m_leavingStages.empty() && !m_pathChangePending && now >= m_nextRerouteAt)
-        reroute(m_leavingStages.begin()->first, now);
+    if (!m_repair.empty() && !m_pathChangePending && now >= m_nextRerouteAt)
+        reroute(now);
     switch (m_stallDetector->check(now)) {
     case StallDetector::Verdict::Flowing:
         return;
@@ -542,8 +542,8 @@
     if (!isOnPath(runner) || isFinished() || !m_exchange || now - m_stallDetector->lastEvent() < maxEventGap)
         return;
     m_excluded.insert(runner);
-    m_leavingStages[runner] = true;
-    if (m_pathChangePending || reroute(runner, now) || !m_matched.route->mayRetry())
+    m_repair.add(runner, true);
+    if (m_pathChangePending || reroute(now) || !m_matched.route->mayRetry())
         return;
     m_history.removeDead(runner);
     cancelRun();
@@ -554,19 +554,28 @@
 {
     if (isFinished() || !m_exchange || !isOnPath(runner) || m_path.front().runner == runner)
         return;
-    if (m_leavingStages.empty())
+    if (m_repair.empty())
         m_nextRerouteAt = m_context.now() + rerouteDelay;
-    m_leavingStages.emplace(runner, false);
+    m_repair.add(runner, false);
 }
 
-bool StreamCall::reroute(const EndpointId& runner, TimePoint now)
+bool StreamCall::reroute(TimePoint now)
 {
     m_nextRerouteAt = now + rerouteRetryInterval;
     const RunnerDirectory::Runner* first = m_context.runners.find(m_path.front().runner);
     if (!m_matched.service->engine || (first && first->resting(now)))
         return false;
     const PathFinder finder(m_context.runners, m_context.ledger);
-    auto newPath = finder.replaceStage(m_path, runner, pathRequest(resumeCacheLimit), *m_matched.service->engine, now);
+    std::set<EndpointId> replaced = m_repair.stages();
+    const auto search = [&] {
+        return finder.replaceStages(m_path, replaced, pathRequest(resumeCacheLimit), *m_matched.service->engine, now);
+    };
+    auto newPath = search();
+    if (!newPath && m_repair.hasDeadStage()) {
+        // A draining stage still serves the stream.
+        replaced = m_repair.deadStages();
+        newPath = search();
+    }
     if (!newPath)
         return false;
     m_pathChangePending = true;
@@ -576,40 +585,66 @@
     const auto self = std::static_pointer_cast<StreamCall>(shared_from_this());
     const std::uint32_t run = m_runs;
     sendPathChangeOrder(
-        m_context, m_matched.request.id, m_path, [self, run, runner, previousPath](const PathChangeResult& result) {
+        m_context, m_matched.request.id, m_path, [self, run, replaced, previousPath](const PathChangeResult& result) {
             if (!self->isFinished() && self->m_runs == run && self->m_exchange)
-                self->handlePathChange(runner, previousPath, result);
+                self->handlePathChange(replaced, previousPath, result);
         });
     return true;
 }
 
-void StreamCall::handlePathChange(const EndpointId& runner, const Path& previousPath, const PathChangeResult& result)
+void StreamCall::logPathChange(const std::set<EndpointId>& replaced, const PathChangeResult& result) const
 {
-    m_pathChangePending = false;
+    std::string names;
+    for (const EndpointId& stage : replaced)
+        names += (names.empty() ? "" : ",") + stage.value();
     LogLine line = logLine("path-changed");
-    line.add("leaving", runner.value()).add("outcome", static_cast<std::int64_t>(result.outcome));
-    line.add("fault", result.faultAddress)
-        .add("registry", static_cast<std::int64_t>(m_context.registryVersion.value()));
+    line.add("leaving", names).add("outcome", static_cast<std::int64_t>(result.outcome));
+    const auto fault = std::find_if(m_path.begin(), m_path.end(),
+        [&](const PathStage& stage) { return !result.faultAddress.empty() && stage.address == result.faultAddress; });
+    if (fault == m_path.end()) {
+        line.add("fault", result.faultAddress);
+        line.add("registry", static_cast<std::int64_t>(m_context.registryVersion.value()));
+    } else {
+        line.add("fault", fault->runner.value());
+        line.add("fault_first", fault->layers.first).add("fault_end", fault->layers.end);
+        addRunnerFields(line, fault->runner);
+    }
     m_context.log.log(line);
+}
+
+void StreamCall::handlePathChange(
+    const std::set<EndpointId>& replaced, const Path& previousPath, const PathChangeResult& result)
+{
+    m_pathChangePending = false;
+    logPathChange(replaced, result);
     if (result.outcome == OrderOutcome::Begun || result.outcome == OrderOutcome::Done) {
-        m_leavingStages.erase(runner);
+        m_repair.recordDone(replaced);
         // Restart stall detection, since the new stages process all previous tokens before the next event.
         m_stallDetector.emplace(StallDetector::Limits {}, m_context.now());
         return;
     }
-    const bool dead = m_leavingStages[runner];
+    handleRefusedPathChange(previousPath, result);
+    if (!m_repair.hasDeadStage() || !m_matched.route->mayRetry())
+        return;
+    cancelRun();
+    failOver("runner-lost", true);
+}
+
+void StreamCall::handleRefusedPathChange(const Path& previousPath, const PathChangeResult& result)
+{
     m_context.ledger.release(m_path, expectedTokens());
-    m_path = previousPath;
+    const Path orderedPath = std::exchange(m_path, previousPath);
     m_context.ledger.reserve(m_path, expectedTokens());
+    // Without a response nothing was learnt, and the order may be repeated.
+    if (result.outcome == OrderOutcome::Unknown)
+        return;
+    if (m_repair.recordRefusal(previousPath, orderedPath, result.faultAddress) != PathRepair::Refusal::AvoidNewStage)
+        return;
     if (const RunnerDirectory::Runner* fault = m_context.runners.findByAddress(result.faultAddress)) {
         const EndpointId refusing = fault->entry.id;
         m_context.runners.recordFailure(refusing, m_context.now(), refusalSuspension);
         m_excluded.insert(refusing);
     }
-    if (!dead || !m_matched.route->mayRetry())
-        return;
-    cancelRun();
-    failOver("runner-lost", true);
 }
 
 void StreamCall::addLogFields(LogLine& line) const
--- a/packages/gateway/fuchsialb/src/Gateway/StreamCall.h
+++ b/packages/gateway/fuchsialb/src/Gateway/StreamCall.h
@@ -3,7 +3,6 @@
 #include "Call.h"
 #include "EventSplitter.h"
 
-#include <map>
 #include <set>
 
 namespace fuchsialb {
@@ -53,12 +52,18 @@
     /// \return Whether a stage after the first is draining, dead or unregistered, which makes the first runner fail as
     /// well.
     bool isPathBroken(TimePoint now) const;
-    /// \brief Reroutes the running request around a stage that is draining or dead.
+    /// \brief Reroutes the running request around stages that are draining or dead.
     ///
     /// The other stages keep the KV cache of the request; only the new ones process its tokens again.
     /// \return Whether another path was found and the order was sent.
-    bool reroute(const EndpointId& runner, TimePoint now);
-    void handlePathChange(const EndpointId& runner, const Path& previousPath, const PathChangeResult& result);
+    bool reroute(TimePoint now);
+    /// \param replaced The stages that the order was to replace.
+    void handlePathChange(
+        const std::set<EndpointId>& replaced, const Path& previousPath, const PathChangeResult& result);
+    /// Takes the former path back and learns from the refusal what another order has to avoid.
+    void handleRefusedPathChange(const Path& previousPath, const PathChangeResult& result);
+    /// Logs an order and, if it was refused, what this host believes of the runner at fault.
+    void logPathChange(const std::set<EndpointId>& replaced, const PathChangeResult& result) const;
     /// Asks the first runner of the path which runner blocks the request.
     void diagnoseStall();
     void handleReport(const RunnerReport& report);
@@ -101,8 +106,7 @@
     std::optional<StallDetector> m_stallDetector;
     /// Runners asked in the current run whether this host reaches any runner.
     std::set<EndpointId> m_stallControls;
-    /// Stages of the path that are draining or dead; true for dead ones.
-    std::map<EndpointId, bool> m_leavingStages;
+    PathRepair m_repair;
     /// An order to change the path was sent and is unanswered.
     bool m_pathChangePending = false;
     TimePoint m_nextRerouteAt {};
