--- a/packages/core/fuchsialb/src/Fleet/RunnerDirectory.cpp
+++ b/packages/core/fuchsialb/src/Fleet/RunnerDirectory.cpp
@@ -13,6 +13,9 @@
     constexpr Duration successTrustPeriod = std::chrono::milliseconds(300);
     // A runner that is to be left alone for longer leaves the registry, so a larger value is more likely an error.
     constexpr Duration maxRest = std::chrono::minutes(5);
+    // Ends of rests are spread over this share of the time, up to the maximum.
+    constexpr double restSpread = 0.2;
+    constexpr Duration maxRestSpread = std::chrono::seconds(1);
     // Statements of runners that are gone are dropped beyond this number.
     constexpr std::size_t maxLeaving = 1024;
 
@@ -74,10 +77,14 @@
     return list;
 }
 
-void RunnerDirectory::recordRest(const EndpointId& id, TimePoint now, Duration rest)
+Duration RunnerDirectory::recordRest(const EndpointId& id, TimePoint now, Duration asked, double share)
 {
+    const Duration bounded = std::min(asked, maxRest);
+    const Duration spread = std::min(maxRestSpread, std::chrono::duration_cast<Duration>(bounded * restSpread));
+    const Duration rest = bounded + std::chrono::duration_cast<Duration>(spread * share);
     if (const auto found = m_runners.find(id); found != m_runners.end())
-        found->second.restUntil = std::max(found->second.restUntil, now + std::min(rest, maxRest));
+        found->second.restUntil = std::max(found->second.restUntil, now + rest);
+    return rest;
 }
 
 std::optional<TimePoint> RunnerDirectory::earliestRestEnd(const TargetId& service, TimePoint now) const
--- a/packages/core/fuchsialb/src/Fleet/RunnerDirectory.h
+++ b/packages/core/fuchsialb/src/Fleet/RunnerDirectory.h
@@ -122,8 +122,13 @@
     bool recordLeaving(const RunnerLeaving& leaving);
     /// \return The statements of runners of which the registry doesn't say yet that they drain.
     std::vector<RunnerLeaving> leavingAheadOfRegistry() const;
-    /// Records that a runner wants no requests of this host for `rest`, up to a limit.
-    void recordRest(const EndpointId& id, TimePoint now, Duration rest);
+    /// \brief Records that a runner wants no requests of this host for a time.
+    ///
+    /// Hosts that were told the same time at once use the runner again one after the other.
+    /// \param asked Bounded by a limit.
+    /// \param share Random number in [0, 1) that places this host among the others.
+    /// \return The time for which this host sends none, at least the one asked for within the limit.
+    Duration recordRest(const EndpointId& id, TimePoint now, Duration asked, double share);
     bool hasUsable(const TargetId& service, TimePoint now) const;
     /// \return The earliest end of a rest of the service's runners that don't drain; none if none rests.
     std::optional<TimePoint> earliestRestEnd(const TargetId& service, TimePoint now) const;
--- a/packages/core/tests/FleetRunnerNoticesTest.cpp
+++ b/packages/core/tests/FleetRunnerNoticesTest.cpp
@@ -1,8 +1,10 @@
+#include "fuchsialb/Base.h"
 #include "tests/support/FleetDataCentre.h"
 
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <map>
 
 using namespace fuchsialb;
 using namespace fuchsialb::test;
@@ -128,7 +130,7 @@
     const TargetId plain { "plain" };
     RunnerDirectory directory;
     directory.put(entry(firstStart));
-    directory.recordRest(runner, now, 2s);
+    directory.recordRest(runner, now, 2s, 0);
     CHECK_FALSE(directory.find(runner)->usable(now));
     CHECK_FALSE(directory.find(runner)->usable(now + 1999ms));
     CHECK(directory.find(runner)->usable(now + 2s));
@@ -143,7 +145,7 @@
 
     SECTION("also if it has named a shorter time since")
     {
-        directory.recordRest(runner, now + 1s, 100ms);
+        directory.recordRest(runner, now + 1s, 100ms, 0.5);
         CHECK_FALSE(directory.find(runner)->usable(now + 1500ms));
     }
 
@@ -163,7 +165,23 @@
 
     SECTION("and the time is bounded")
     {
-        directory.recordRest(runner, now, std::chrono::hours(100));
+        CHECK(directory.recordRest(runner, now, std::chrono::hours(100), 0) == 5min);
         CHECK(directory.find(runner)->usable(now + 5min));
     }
+
+    SECTION("and hosts that were told the same time at once come back one after the other, none of them early")
+    {
+        constexpr int hosts = 300;
+        constexpr Duration window = 20ms;
+        std::map<Duration::rep, int> returns;
+        Random random(1);
+        for (int i = 0; i < hosts; ++i) {
+            const Duration rest = directory.recordRest(runner, now, 2s, random.unit());
+            CHECK(rest >= 2s);
+            CHECK(rest <= 2400ms);
+            ++returns[rest / window];
+        }
+        for (const auto& [index, count] : returns)
+            CHECK(count < hosts / 5);
+    }
 }
--- a/packages/gateway/fuchsialb/src/Gateway/RunnerNotices.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/RunnerNotices.cpp
@@ -1,21 +1,14 @@
 #include "RunnerNotices.h"
 
-#include <algorithm>
-
 namespace fuchsialb {
 
 namespace {
 
     constexpr std::uint32_t statusMisdirectedRequest = 421;
-    // Ends of rests that many hosts were told at once are spread by this share of the time, up to the maximum.
-    constexpr double restSpread = 0.2;
-    constexpr Duration maxRestSpread = std::chrono::seconds(1);
 
     void recordRest(GatewayContext& context, const EndpointId& id, Duration rest)
     {
-        const Duration spread = std::min(maxRestSpread, std::chrono::duration_cast<Duration>(rest * restSpread));
-        const Duration total = rest + std::chrono::duration_cast<Duration>(spread * context.random.unit());
-        context.runners.recordRest(id, context.now(), total);
+        const Duration total = context.runners.recordRest(id, context.now(), rest, context.random.unit());
         LogLine line("runner-rests");
         line.add("runner", id.value());
         line.add("asked_ms", std::chrono::duration_cast<std::chrono::milliseconds>(rest).count());
