--- a/packages/gateway/fuchsialb/src/Gateway/Call.h
+++ b/packages/gateway/fuchsialb/src/Gateway/Call.h
@@ -68,9 +68,8 @@
     void complete(std::uint32_t status);
     /// \return Whether the response is signed by the runner, unmodified and belongs to this request.
     bool isAuthentic(const RunnerResponse& runnerResponse) const;
-    /// \return Delay before the caller should retry if the service's runners that rest are needed: until the first of
-    /// them
-    ///     may be used again, or `usual` if none rests.
+    /// \return Delay before the caller should retry if runners of the service that rest are needed: until the first of
+    ///     them may be used again, or `usual` if none rests.
     Duration retryAfterRest(Duration usual);
     /// Calls `callerDisconnected` when the caller closes the connection.
     void watchCaller();
