Word the comments on notices and on the hooks of the beats

Cause: read-through of the change: a wrapped line broke the list of parameters, and the comment on the hooks named only one of three.

--- a/packages/core/fuchsialb/src/Fleet/BeatExchange.h
+++ b/packages/core/fuchsialb/src/Fleet/BeatExchange.h
@@ -44,8 +44,9 @@
         DirectoryView& hostsView;
     };
 
-    /// Called with changes of a prefix of the store that another host has passed on.
+    /// Called with what another host has passed on.
     struct Hooks {
+        /// Changes of a prefix of the store.
         std::function<void(const HostId& from, const DirectoryUpdate& update)> onRunnersChanged;
         std::function<void(const HostId& from, const DirectoryUpdate& update)> onHostsChanged;
         /// Called for a runner that counts as draining since the beat of another host, ahead of the registry.
--- a/packages/gateway/fuchsialb/src/Gateway/RunnerNotices.h
+++ b/packages/gateway/fuchsialb/src/Gateway/RunnerNotices.h
@@ -5,9 +5,8 @@
 namespace fuchsialb {
 
 /// \brief Applies what a runner's response says of the runner itself: that it leaves, or wants no requests for a while.
-/// \param runner The runner that the request was addressed to, as known when it was sent. A response of another one,
-/// which
-///     has taken over the address, says nothing of it.
+/// \param runner The runner that the request was addressed to, as known when it was sent.
+/// \param status HTTP status; after 421, which another runner at the address sends, nothing is applied.
 void recordRunnerNotices(
     GatewayContext& context, const RunnerLeaving& runner, const RunnerResponse& response, std::uint32_t status);
 
