Count a runner of a request until its process has ended

Callers saw: a request ran on three runners where its route allows two. Cause: a runner that was found dead was taken out of the runs of a request. Class: a suspicion used as proof. Change: RunHistory counts a runner until its process is known to have ended, by another start of the same id or a later runner at its address; an entry missing in the registry proves nothing, since such a runner may serve on. Once the limit is reached, a stream returns to a runner that it has used, also to one that had been suspected. Streams of services without layers keep the limit too. The section that had a dead runner not counted is replaced by five: found dead, missing, started again, address taken over, older entry at the address.

--- a/packages/core/fuchsialb/src/Fleet/RunHistory.h
+++ b/packages/core/fuchsialb/src/Fleet/RunHistory.h
@@ -1,13 +1,18 @@
 #pragma once
 
-#include "../Base/Ids.h"
+#include "RunnerDirectory.h"
 
+#include <map>
 #include <set>
+#include <string>
 
 namespace fuchsialb {
 
 /// \brief Runners that may have run a request, limited to the number that its route allows.
 ///
+/// A runner counts until its process is known to have ended: it has started again, or its address belongs to another
+/// one. A runner that is silent, unreachable or missing in the registry may still run the request, so it counts.
+///
 /// A runner may abort a request and later refuse the same one. The refusal discards only the run that it answers, not
 /// the earlier run at the same runner.
 class RunHistory {
@@ -19,28 +24,22 @@
     }
 
     /// Records that the request is sent to `runner`.
-    void recordRun(const EndpointId& runner)
-    {
-        m_last = runner;
-        m_lastIsNew = m_runners.insert(runner).second;
-    }
-
+    void recordRun(const RunnerEntry& runner);
     /// Discards the last run, which the runner refused or which was not sent.
-    void discardLast()
-    {
-        if (m_lastIsNew)
-            m_runners.erase(m_last);
-        m_lastIsNew = false;
-    }
-
-    /// Removes a dead runner, which does not count towards the limit.
-    void removeDead(const EndpointId& runner) { m_runners.erase(runner); }
-    bool mayUseAnotherRunner() const { return m_runners.size() < m_maxRunners; }
-    const std::set<EndpointId>& runners() const { return m_runners; }
+    void discardLast();
+    bool mayUseAnotherRunner(const RunnerDirectory& directory) const;
+    std::set<EndpointId> runners() const;
 
 private:
+    struct Process {
+        std::string address;
+        std::int64_t startedAt = 0;
+    };
+
+    static bool hasEnded(const EndpointId& runner, const Process& process, const RunnerDirectory& directory);
+
     std::size_t m_maxRunners;
-    std::set<EndpointId> m_runners;
+    std::map<EndpointId, Process> m_runners;
     EndpointId m_last;
     bool m_lastIsNew = false;
 };
--- a/packages/core/tests/FleetAdmissionTest.cpp
+++ b/packages/core/tests/FleetAdmissionTest.cpp
@@ -99,9 +99,20 @@
 // and when the first then refused to resume it, the refusal removed that runner's earlier run from the count.
 TEST_CASE("A request runs at no more runners than its route allows")
 {
+    const auto runner = [](const char* id, const char* address, std::int64_t startedAt) {
+        RunnerEntry entry;
+        entry.id = EndpointId(id);
+        entry.address = address;
+        entry.startedAt = startedAt;
+        return entry;
+    };
+    const RunnerEntry a = runner("a", "10.0.0.1:80", 1000);
+    const RunnerEntry b = runner("b", "10.0.0.2:80", 1000);
+    RunnerDirectory directory;
+    directory.replaceAll({ a, b });
     RunHistory history(2);
-    history.recordRun(EndpointId("a"));
-    CHECK(history.mayUseAnotherRunner());
+    history.recordRun(a);
+    CHECK(history.mayUseAnotherRunner(directory));
 
     SECTION("a refused run does not count")
     {
@@ -111,18 +122,52 @@
 
     SECTION("a refusal does not undo an earlier run at the same runner")
     {
-        history.recordRun(EndpointId("b"));
-        CHECK_FALSE(history.mayUseAnotherRunner());
-        history.recordRun(EndpointId("a"));
+        history.recordRun(b);
+        CHECK_FALSE(history.mayUseAnotherRunner(directory));
+        history.recordRun(a);
         history.discardLast();
-        CHECK_FALSE(history.mayUseAnotherRunner());
+        CHECK_FALSE(history.mayUseAnotherRunner(directory));
+    }
+
+    SECTION("a runner that was found dead counts, since it may only be silent")
+    {
+        history.recordRun(b);
+        directory.markDead(b.id, TimePoint(10s), 3s);
+        CHECK_FALSE(history.mayUseAnotherRunner(directory));
+    }
+
+    SECTION("a runner that the registry lacks counts, since it may serve on")
+    {
+        history.recordRun(b);
+        directory.remove(b.id);
+        CHECK_FALSE(history.mayUseAnotherRunner(directory));
+    }
+
+    SECTION("a runner that has started again since does not count")
+    {
+        history.recordRun(b);
+        directory.put(runner("b", "10.0.0.2:80", 2000));
+        CHECK(history.mayUseAnotherRunner(directory));
+
+        SECTION("until the request is sent to it again")
+        {
+            history.recordRun(runner("b", "10.0.0.2:80", 2000));
+            CHECK_FALSE(history.mayUseAnotherRunner(directory));
+        }
+    }
+
+    SECTION("a runner whose address belongs to another one does not count")
+    {
+        history.recordRun(b);
+        directory.put(runner("c", "10.0.0.2:80", 2000));
+        CHECK(history.mayUseAnotherRunner(directory));
     }
 
-    SECTION("runners that died do not count")
+    SECTION("an older entry with the same address says nothing")
     {
-        history.recordRun(EndpointId("b"));
-        history.removeDead(EndpointId("b"));
-        CHECK(history.mayUseAnotherRunner());
+        history.recordRun(b);
+        directory.put(runner("c", "10.0.0.2:80", 500));
+        CHECK_FALSE(history.mayUseAnotherRunner(directory));
     }
 }
 
--- a/packages/gateway/fuchsialb/src/Gateway/StreamCall.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/StreamCall.cpp
@@ -71,10 +71,10 @@
 {
     if (!m_mayHaveRun)
         return true;
-    const std::set<EndpointId>& usedRunners = m_history.runners();
+    const std::set<EndpointId> usedRunners = m_history.runners();
     const bool anyUsable = std::any_of(
         usedRunners.begin(), usedRunners.end(), [&](const EndpointId& runner) { return !m_excluded.contains(runner); });
-    return m_matched.route->mayRetry() && (m_history.mayUseAnotherRunner() || anyUsable);
+    return m_matched.route->mayRetry() && (m_history.mayUseAnotherRunner(m_context.runners) || anyUsable);
 }
 
 void StreamCall::start()
@@ -109,6 +109,11 @@
     PathRequest request { m_matched.service->name, m_context.settings.dataCentre, expectedTokens(), cacheLimit,
         m_excluded };
     request.requestId = m_matched.request.id;
+    // A suspected runner that proves to be alive is the only choice left once the route allows no other one.
+    if (m_history.mayUseAnotherRunner(m_context.runners))
+        request.excluded.insert(m_suspected.begin(), m_suspected.end());
+    else
+        request.allowedFirstRunners = m_history.runners();
     return request;
 }
 
@@ -123,10 +128,14 @@
 
 std::optional<Path> StreamCall::findPath(TimePoint now)
 {
+    const double limit = m_runs > 0 ? resumeCacheLimit : AdmissionPolicy::cacheLimit(m_matched.urgency);
+    PathRequest request = pathRequest(limit);
     if (!m_matched.service->engine) {
         const RunnerDirectory::Runner* best = nullptr;
         for (const auto& [id, runner] : m_context.runners.runners()) {
-            if (runner.entry.service != m_matched.service->name || !runner.usable(now) || m_excluded.contains(id))
+            if (runner.entry.service != m_matched.service->name || !runner.usable(now) || request.excluded.contains(id))
+                continue;
+            if (!request.allowedFirstRunners.empty() && !request.allowedFirstRunners.contains(id))
                 continue;
             if (!best || m_context.ledger.at(id).firstStages < m_context.ledger.at(best->entry.id).firstStages)
                 best = &runner;
@@ -135,12 +144,8 @@
                     : std::nullopt;
     }
     const PathFinder finder(m_context.runners, m_context.ledger);
-    const double limit = m_runs > 0 ? resumeCacheLimit : AdmissionPolicy::cacheLimit(m_matched.urgency);
     const EngineProfile& engine = *m_matched.service->engine;
-    PathRequest request = pathRequest(limit);
     request.mayCrossDataCentres = engine.linkMegabits <= 0 || m_context.linkBudget.allows(now, m_context.hosts.size());
-    if (!m_history.mayUseAnotherRunner())
-        request.allowedFirstRunners = m_history.runners();
     auto path = finder.find(request, engine, now);
     if (path)
         m_context.linkBudget.take(
@@ -182,9 +187,10 @@
 {
     const TimePoint now = m_context.now();
     m_path = std::move(path);
-    m_history.recordRun(m_path.front().runner);
-    if (const RunnerDirectory::Runner* first = m_context.runners.find(m_path.front().runner))
+    if (const RunnerDirectory::Runner* first = m_context.runners.find(m_path.front().runner)) {
+        m_history.recordRun(first->entry);
         m_firstStartedAt = first->entry.startedAt;
+    }
     m_context.ledger.reserve(m_path, expectedTokens());
     ++m_runs;
     m_splitter = {};
@@ -366,9 +372,7 @@
 void StreamCall::recordDead(const EndpointId& runner, std::string_view cause)
 {
     m_context.runners.markDead(runner, m_context.now(), deadSuspension);
-    m_excluded.insert(runner);
-    // Dead runners don't count towards the maximum number of runners per request.
-    m_history.removeDead(runner);
+    m_suspected.insert(runner);
     logFailure(runner, cause);
     m_onRunnerLost(runner);
 }
@@ -541,11 +545,10 @@
     constexpr Duration maxEventGap = std::chrono::milliseconds(250);
     if (!isOnPath(runner) || isFinished() || !m_exchange || now - m_stallDetector->lastEvent() < maxEventGap)
         return;
-    m_excluded.insert(runner);
+    m_suspected.insert(runner);
     m_repair.add(runner, true);
     if (m_pathChangePending || reroute(now) || !m_matched.route->mayRetry())
         return;
-    m_history.removeDead(runner);
     cancelRun();
     failOver("runner-lost", true);
 }
--- a/packages/gateway/fuchsialb/src/Gateway/StreamCall.h
+++ b/packages/gateway/fuchsialb/src/Gateway/StreamCall.h
@@ -100,7 +100,10 @@
     std::optional<std::uint64_t> m_lastEventId;
     EventSplitter m_splitter;
     std::optional<HttpResponse> m_head;
+    /// Runners that refused the request or can't serve it.
     std::set<EndpointId> m_excluded;
+    /// Runners that seem to be dead or cut off; a sound one may fall silent for a second and go on.
+    std::set<EndpointId> m_suspected;
     /// First runner of each path used.
     RunHistory m_history;
     std::optional<StallDetector> m_stallDetector;
