Keep a run that may go on until another one is possible

Callers saw: streams closed in the middle of the answer, though the runner had sent all of it. Cause: a run whose runner fell silent was cancelled first, and only then was a retry and a path looked for. Without one the stream waited for 1.5 s and was closed, whatever the runner did meanwhile. Change: StreamCall::replaceRun looks first, with the room of the current path taken as free, and gives the run up only for another one; otherwise it reads on and looks again each 200 ms. The retry goes back to the budget if it isn't used. An event that arrives 300 ms after a suspicion or later refutes it: the stages are no longer to be replaced, and the runners are used again at once. The log tells runs that are given up and suspicions that were refuted, each counted. Why it works: nothing is given up for want of another run, so a silence that ends costs the stream nothing but the pause.

--- a/packages/core/fuchsialb/src/Fleet/PathRepair.cpp
+++ b/packages/core/fuchsialb/src/Fleet/PathRepair.cpp
@@ -17,14 +17,15 @@
 
 void PathRepair::add(const EndpointId& stage, bool dead)
 {
-    bool& known = m_stages[stage];
-    known = known || dead;
+    Stage& known = m_stages[stage];
+    known.leaves = known.leaves || !dead;
+    known.dead = known.dead || dead;
 }
 
 std::set<EndpointId> PathRepair::stages() const
 {
     std::set<EndpointId> list;
-    for (const auto& [stage, dead] : m_stages)
+    for (const auto& [stage, state] : m_stages)
         list.insert(stage);
     return list;
 }
@@ -32,8 +33,8 @@
 std::set<EndpointId> PathRepair::deadStages() const
 {
     std::set<EndpointId> list;
-    for (const auto& [stage, dead] : m_stages) {
-        if (dead)
+    for (const auto& [stage, state] : m_stages) {
+        if (state.dead)
             list.insert(stage);
     }
     return list;
@@ -55,8 +56,15 @@
     }
     if (!kept && stageAt(ordered, faultAddress))
         return Refusal::AvoidNewStage;
-    std::erase_if(m_stages, [](const auto& stage) { return !stage.second; });
+    std::erase_if(m_stages, [](const auto& stage) { return !stage.second.dead; });
     return Refusal::GiveUp;
 }
 
+void PathRepair::discardDead()
+{
+    for (auto& [id, stage] : m_stages)
+        stage.dead = false;
+    std::erase_if(m_stages, [](const auto& stage) { return !stage.second.leaves; });
+}
+
 } // namespace fuchsialb
--- a/packages/core/fuchsialb/src/Fleet/PathRepair.h
+++ b/packages/core/fuchsialb/src/Fleet/PathRepair.h
@@ -25,6 +25,8 @@
     std::set<EndpointId> stages() const;
     std::set<EndpointId> deadStages() const;
 
+    /// Records that the stages found dead are alive; those that drain are still to be replaced.
+    void discardDead();
     /// Records that an order replaced these stages.
     void recordDone(const std::set<EndpointId>& replaced);
 
@@ -43,8 +45,14 @@
     Refusal recordRefusal(const Path& previous, const Path& ordered, std::string_view faultAddress);
 
 private:
-    /// Stages to be replaced; true for dead ones.
-    std::map<EndpointId, bool> m_stages;
+    struct Stage {
+        /// It drains, or no longer holds its layers.
+        bool leaves = false;
+        /// It seems to have ended or to be cut off.
+        bool dead = false;
+    };
+
+    std::map<EndpointId, Stage> m_stages;
 };
 
 } // namespace fuchsialb
--- a/packages/core/fuchsialb/src/Fleet/RunnerDirectory.cpp
+++ b/packages/core/fuchsialb/src/Fleet/RunnerDirectory.cpp
@@ -184,6 +184,9 @@
     if (found == m_runners.end())
         return;
     found->second.failures = 0;
+    // Its silence is over. A suspension after a refusal stays.
+    if (found->second.markedDead)
+        found->second.suspendedUntil = std::min(found->second.suspendedUntil, now);
     found->second.markedDead = false;
     found->second.markedDeadLocally = false;
     found->second.succeededAt = now;
--- a/packages/core/fuchsialb/src/Fleet/SharedRetryBudget.cpp
+++ b/packages/core/fuchsialb/src/Fleet/SharedRetryBudget.cpp
@@ -37,4 +37,10 @@
     return true;
 }
 
+void SharedRetryBudget::giveBack()
+{
+    if (!m_retries.empty())
+        m_retries.pop_back();
+}
+
 } // namespace fuchsialb
--- a/packages/core/fuchsialb/src/Fleet/SharedRetryBudget.h
+++ b/packages/core/fuchsialb/src/Fleet/SharedRetryBudget.h
@@ -29,6 +29,8 @@
     /// \param hosts Number of hosts that share the allowance, at least 1.
     /// \return Whether the retry is allowed.
     bool tryTake(TimePoint now, std::size_t hosts);
+    /// Returns a retry that was taken and has not been sent.
+    void giveBack();
 
 private:
     void expire(TimePoint now);
--- a/packages/core/tests/FleetAdmissionTest.cpp
+++ b/packages/core/tests/FleetAdmissionTest.cpp
@@ -92,6 +92,9 @@
     CHECK(taken > 10);
     CHECK(taken <= 100 / 10 + 50 * 0.2);
     CHECK_FALSE(budget.tryTake(now + 9s, 10));
+    budget.giveBack();
+    CHECK(budget.tryTake(now + 9s, 10));
+    CHECK_FALSE(budget.tryTake(now + 9s, 10));
     CHECK(budget.tryTake(now + 10s, 10));
 }
 
@@ -208,6 +211,16 @@
         CHECK(directory.find(entry.id)->usable(now + 100ms));
     }
 
+    SECTION("an answer of a runner that was found dead ends the suspension, since it was only silent")
+    {
+        now += 200ms;
+        directory.markDead(entry.id, now, 3s);
+        CHECK_FALSE(directory.find(entry.id)->usable(now + 100ms));
+        directory.recordSuccess(entry.id, now + 100ms);
+        CHECK(directory.find(entry.id)->usable(now + 100ms));
+        CHECK_FALSE(directory.find(entry.id)->lost(now + 100ms));
+    }
+
     SECTION("a restart under the same id ends the suspension")
     {
         entry.startedAt += 1;
--- a/packages/core/tests/FleetPathRepairTest.cpp
+++ b/packages/core/tests/FleetPathRepairTest.cpp
@@ -50,6 +50,15 @@
         CHECK(repair.empty());
     }
 
+    SECTION("a stage found dead that turns out to be alive isn't replaced, unless it leaves as well")
+    {
+        repair.add(EndpointId("b"), true);
+        repair.add(EndpointId("c"), true);
+        repair.discardDead();
+        CHECK_FALSE(repair.hasDeadStage());
+        CHECK(repair.stages() == std::set { EndpointId("c") });
+    }
+
     SECTION("a dead stage stays to be replaced, since the stream makes no progress with it")
     {
         repair.add(EndpointId("c"), true);
--- a/packages/gateway/fuchsialb/src/Gateway/StreamCall.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/StreamCall.cpp
@@ -28,6 +28,10 @@
     constexpr Duration rerouteDelay = std::chrono::milliseconds(1100);
     // Interval between attempts to reroute a request while other runners load the layers of the draining stage.
     constexpr Duration rerouteRetryInterval = std::chrono::milliseconds(200);
+    // Interval between attempts to replace a run that has stopped, while no other path has room.
+    constexpr Duration replacementInterval = std::chrono::milliseconds(200);
+    // An event that arrives within this time of a suspicion may have passed the suspected stage before it died.
+    constexpr Duration maxEventTransit = std::chrono::milliseconds(300);
     constexpr std::uint32_t statusMisdirectedRequest = 421;
 
     /// \return Comma-separated data centres of a path, in order.
@@ -67,10 +71,10 @@
     return static_cast<double>(request.promptTokens + output);
 }
 
-bool StreamCall::mayRetry() const
+bool StreamCall::mayRetry() const { return !m_mayHaveRun || mayRunAgain(); }
+
+bool StreamCall::mayRunAgain() const
 {
-    if (!m_mayHaveRun)
-        return true;
     const std::set<EndpointId> usedRunners = m_history.runners();
     const bool anyUsable = std::any_of(
         usedRunners.begin(), usedRunners.end(), [&](const EndpointId& runner) { return !m_excluded.contains(runner); });
@@ -274,7 +278,7 @@
     }
     if (text.empty())
         return;
-    m_stallDetector->recordEvent(now);
+    recordProgress(now);
     if (!m_responseStarted) {
         m_responseStarted = true;
         m_context.metrics.observe("first_event", now - m_matched.receivedAt);
@@ -369,10 +373,37 @@
     logFailure(runner, cause);
 }
 
+void StreamCall::recordProgress(TimePoint now)
+{
+    const Duration pause = now - m_stallDetector->lastEvent();
+    m_stallDetector->recordEvent(now);
+    if (!m_repair.hasDeadStage() && !m_suspected.contains(m_path.front().runner))
+        return;
+    if (now - m_suspectedAt < maxEventTransit)
+        return;
+    // An event has passed through all stages, so none of them is dead.
+    m_repair.discardDead();
+    for (const PathStage& stage : m_path) {
+        m_suspected.erase(stage.runner);
+        m_context.runners.recordSuccess(stage.runner, now);
+    }
+    LogLine line = logLine("suspicion-refuted");
+    line.add("run", static_cast<std::int64_t>(m_runs)).add("first", m_path.front().runner.value());
+    line.add("pause_ms", std::chrono::duration_cast<std::chrono::milliseconds>(pause).count());
+    m_context.log.log(line);
+    m_context.metrics.count("suspicions", "outcome", "refuted");
+}
+
+void StreamCall::recordSuspicion(const EndpointId& runner)
+{
+    m_suspected.insert(runner);
+    m_suspectedAt = m_context.now();
+}
+
 void StreamCall::recordDead(const EndpointId& runner, std::string_view cause)
 {
     m_context.runners.markDead(runner, m_context.now(), deadSuspension);
-    m_suspected.insert(runner);
+    recordSuspicion(runner);
     logFailure(runner, cause);
     m_onRunnerLost(runner);
 }
@@ -412,6 +443,32 @@
         enqueue(m_responseStarted ? maxResumeWait : AdmissionPolicy::maxWait(m_matched.route->latencyObjective));
 }
 
+void StreamCall::replaceRun(std::string_view cause)
+{
+    const TimePoint now = m_context.now();
+    m_nextReplacementAt = now + replacementInterval;
+    if (!mayRunAgain() || !m_context.retryBudget.tryTake(now, m_context.hosts.size()))
+        return;
+    // The room on the current path is free for its replacement.
+    m_context.ledger.release(m_path, expectedTokens());
+    auto path = findPath(now);
+    m_context.ledger.reserve(m_path, expectedTokens());
+    if (!path) {
+        m_context.retryBudget.giveBack();
+        return;
+    }
+    LogLine line = logLine("run-given-up");
+    line.add("run", static_cast<std::int64_t>(m_runs)).add("cause", cause);
+    line.add("first", m_path.front().runner.value());
+    const Duration pause = now - m_stallDetector->lastEvent();
+    line.add("pause_ms", std::chrono::duration_cast<std::chrono::milliseconds>(pause).count());
+    m_context.log.log(line);
+    m_context.metrics.count("runs_given_up", "cause", cause);
+    m_mayHaveRun = true;
+    cancelRun();
+    startRun(*std::move(path));
+}
+
 void StreamCall::fail(std::string_view cause)
 {
     if (m_responseStarted)
@@ -435,22 +492,15 @@
     }
     if (!m_exchange || !m_stallDetector)
         return;
-    if (!m_repair.empty() && !m_pathChangePending && now >= m_nextRerouteAt)
-        reroute(now);
-    switch (m_stallDetector->check(now)) {
-    case StallDetector::Verdict::Flowing:
+    if (!m_repair.empty() && !m_pathChangePending && now >= m_nextRerouteAt && reroute(now))
         return;
-    case StallDetector::Verdict::Ask:
+    const StallDetector::Verdict verdict = m_stallDetector->check(now);
+    if (verdict == StallDetector::Verdict::Ask)
         diagnoseStall();
-        return;
-    case StallDetector::Verdict::GiveUp:
-        // Keep waiting if the request can't be retried, since waiting costs nothing then.
-        if (!mayRetry() || !m_matched.route->mayRetry())
-            return;
-        cancelRun();
-        failOver("stalled", true);
-        return;
-    }
+    const bool isStalled = verdict == StallDetector::Verdict::GiveUp;
+    const bool isSuspected = m_repair.hasDeadStage() && !m_pathChangePending;
+    if (m_exchange && (isStalled || isSuspected) && now >= m_nextReplacementAt)
+        replaceRun(isStalled ? "stalled" : "runner-lost");
 }
 
 void StreamCall::diagnoseStall()
@@ -545,12 +595,10 @@
     constexpr Duration maxEventGap = std::chrono::milliseconds(250);
     if (!isOnPath(runner) || isFinished() || !m_exchange || now - m_stallDetector->lastEvent() < maxEventGap)
         return;
-    m_suspected.insert(runner);
+    recordSuspicion(runner);
     m_repair.add(runner, true);
-    if (m_pathChangePending || reroute(now) || !m_matched.route->mayRetry())
-        return;
-    cancelRun();
-    failOver("runner-lost", true);
+    if (!m_pathChangePending && !reroute(now))
+        replaceRun("runner-lost");
 }
 
 void StreamCall::runnerLeaving(const EndpointId& runner)
@@ -627,10 +675,8 @@
         return;
     }
     handleRefusedPathChange(previousPath, result);
-    if (!m_repair.hasDeadStage() || !m_matched.route->mayRetry())
-        return;
-    cancelRun();
-    failOver("runner-lost", true);
+    if (m_repair.hasDeadStage())
+        replaceRun("runner-lost");
 }
 
 void StreamCall::handleRefusedPathChange(const Path& previousPath, const PathChangeResult& result)
@@ -653,6 +699,7 @@
 void StreamCall::addLogFields(LogLine& line) const
 {
     line.add("runs", static_cast<std::int64_t>(m_runs)).add("waiting", m_isQueued ? 1 : 0);
+    line.add("runners", static_cast<std::int64_t>(m_history.runners().size()));
     line.add("last_event", static_cast<std::int64_t>(m_lastEventId.value_or(0)));
     if (!m_stallDetector)
         return;
--- a/packages/gateway/fuchsialb/src/Gateway/StreamCall.h
+++ b/packages/gateway/fuchsialb/src/Gateway/StreamCall.h
@@ -75,7 +75,14 @@
     void recordUnexplainedStall(const EndpointId& first, const EndpointId& control);
     /// Forgets the exchange and releases the capacity reserved on the path.
     void releasePath();
-    /// Retries the request on another path or finishes it.
+    /// \brief Runs the request on another path instead of the current run, which has stopped.
+    ///
+    /// The current run goes on unless the route allows another run and a path has room for it.
+    void replaceRun(std::string_view cause);
+    /// Records an event of the current run, which shows that all runners of its path are alive.
+    void recordProgress(TimePoint now);
+    void recordSuspicion(const EndpointId& runner);
+    /// Retries the request, whose run has ended, on another path or finishes it.
     void failOver(std::string_view cause, bool mayHaveRun);
     /// Finishes the request: aborts a response that has started, otherwise answers whether the request may have run.
     void fail(std::string_view cause);
@@ -86,6 +93,8 @@
     void refuse(std::string_view cause);
     double expectedTokens() const;
     bool mayRetry() const;
+    /// \return Whether the route allows another run of a request that has run.
+    bool mayRunAgain() const;
 
     const Duration& m_meanDuration;
     OnRunnerLost m_onRunnerLost;
@@ -104,6 +113,7 @@
     std::set<EndpointId> m_excluded;
     /// Runners that seem to be dead or cut off; a sound one may fall silent for a second and go on.
     std::set<EndpointId> m_suspected;
+    TimePoint m_suspectedAt {};
     /// First runner of each path used.
     RunHistory m_history;
     std::optional<StallDetector> m_stallDetector;
@@ -113,6 +123,7 @@
     /// An order to change the path was sent and is unanswered.
     bool m_pathChangePending = false;
     TimePoint m_nextRerouteAt {};
+    TimePoint m_nextReplacementAt {};
     TimePoint m_startedAt {};
     bool m_isQueued = false;
     std::optional<Duration> m_servedDuration;
