Let a host that was held up doubt itself before its runners

Callers would see: streams cut or begun again after their host was stopped or got no processor time for over a second. Cause: the clock runs on while the process stands still, so the first tick takes the time for the runners' silence; events and reports wait unread. Change: HostPauseDetector notices a tick that is over 250 ms late. The pause of each stream then starts anew, once between two events, and a report or connection that failed in that time says nothing of the runner. Logged as host-held-up, with a histogram. Evidence: the new section of core.FleetAdmissionTest; there was no way to tell this case before, so it can't be run on the former code. No process was stopped in a test yet.

--- a/packages/core/fuchsialb/Fleet.h
+++ b/packages/core/fuchsialb/Fleet.h
@@ -12,6 +12,7 @@
 #include "src/Fleet/HostBeat.h"
 #include "src/Fleet/HostCells.h"
 #include "src/Fleet/HostDirectory.h"
+#include "src/Fleet/HostPauseDetector.h"
 #include "src/Fleet/LinkBudget.h"
 #include "src/Fleet/LoadLedger.h"
 #include "src/Fleet/PathFinder.h"
--- /dev/null
+++ b/packages/core/fuchsialb/src/Fleet/HostPauseDetector.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "../Base/Clock.h"
+
+#include <optional>
+
+namespace fuchsialb {
+
+/// \brief Notices that this host was held up: its process was stopped or got no processor time.
+///
+/// What it hasn't heard of others then says nothing of them, since their messages may wait unread.
+class HostPauseDetector {
+public:
+    /// \param maxGap Longest time between two ticks of a host that isn't held up.
+    explicit HostPauseDetector(Duration maxGap)
+        : m_maxGap(maxGap)
+    {
+    }
+
+    /// Called periodically.
+    /// \return Time since the last tick if the host was held up.
+    std::optional<Duration> tick(TimePoint now)
+    {
+        const bool wasOverdue = overdue(now);
+        const Duration gap = m_lastTick ? now - *m_lastTick : Duration::zero();
+        m_lastTick = now;
+        return wasOverdue ? std::optional(gap) : std::nullopt;
+    }
+
+    /// \return Whether the host has been held up and hasn't ticked since.
+    bool overdue(TimePoint now) const { return m_lastTick && now - *m_lastTick > m_maxGap; }
+
+private:
+    Duration m_maxGap;
+    std::optional<TimePoint> m_lastTick;
+};
+
+} // namespace fuchsialb
--- a/packages/core/fuchsialb/src/Fleet/StallDetector.h
+++ b/packages/core/fuchsialb/src/Fleet/StallDetector.h
@@ -2,6 +2,8 @@
 
 #include "../Base/Clock.h"
 
+#include <utility>
+
 namespace fuchsialb {
 
 /// \brief Detects a stream whose events have stopped for far longer than its usual interval.
@@ -32,15 +34,30 @@
     StallDetector(const Limits& limits, TimePoint start)
         : m_limits(limits)
         , m_lastEvent(start)
+        , m_pauseStart(start)
     {
     }
 
-    void recordEvent(TimePoint now) { m_lastEvent = now; }
+    void recordEvent(TimePoint now)
+    {
+        m_lastEvent = now;
+        m_pauseStart = now;
+        m_hostPauseSeen = false;
+    }
     TimePoint lastEvent() const { return m_lastEvent; }
+    TimePoint pauseStart() const { return m_pauseStart; }
+    /// \brief Starts the pause anew after this host was held up, since events may wait unread.
+    ///
+    /// Once for each pause, so that a host that is held up again and again still notices a dead runner.
+    void recordHostPause(TimePoint now)
+    {
+        if (!std::exchange(m_hostPauseSeen, true))
+            m_pauseStart = now;
+    }
 
     Verdict check(TimePoint now)
     {
-        const Duration pause = now - m_lastEvent;
+        const Duration pause = now - m_pauseStart;
         if (pause >= m_limits.giveUpAfter)
             return Verdict::GiveUp;
         if (pause < m_limits.askAfter || now - m_askedAt < m_limits.askEvery)
@@ -52,6 +69,9 @@
 private:
     Limits m_limits;
     TimePoint m_lastEvent;
+    /// Start of the pause that counts; later than the last event if this host was held up since.
+    TimePoint m_pauseStart;
+    bool m_hostPauseSeen = false;
     TimePoint m_askedAt {};
 };
 
--- a/packages/core/tests/FleetAdmissionTest.cpp
+++ b/packages/core/tests/FleetAdmissionTest.cpp
@@ -189,6 +189,47 @@
     CHECK(detector.check(now + 1400ms) == Verdict::Flowing);
 }
 
+// Guards against a host that was stopped itself and takes the time for its runners' silence.
+TEST_CASE("A host that was held up doubts itself first")
+{
+    using Verdict = StallDetector::Verdict;
+    const TimePoint now { 10s };
+    HostPauseDetector host(250ms);
+    CHECK_FALSE(host.tick(now));
+    CHECK_FALSE(host.tick(now + 250ms));
+    CHECK_FALSE(host.overdue(now + 500ms));
+
+    SECTION("a late tick is noticed before and by the tick, once")
+    {
+        CHECK(host.overdue(now + 501ms));
+        CHECK(host.tick(now + 2s) == Duration(1750ms));
+        CHECK_FALSE(host.overdue(now + 2s));
+        CHECK_FALSE(host.tick(now + 2s + 25ms));
+    }
+
+    SECTION("a stream's pause starts anew")
+    {
+        StallDetector detector({}, now);
+        detector.recordHostPause(now + 2s);
+        CHECK(detector.check(now + 2s) == Verdict::Flowing);
+        CHECK(detector.check(now + 2460ms) == Verdict::Ask);
+        CHECK(detector.lastEvent() == now);
+
+        SECTION("but once only, so that a dead runner is still noticed by a host that is held up again")
+        {
+            detector.recordHostPause(now + 3s);
+            CHECK(detector.check(now + 3300ms) == Verdict::GiveUp);
+        }
+
+        SECTION("and again after an event")
+        {
+            detector.recordEvent(now + 3s);
+            detector.recordHostPause(now + 5s);
+            CHECK(detector.check(now + 5s) == Verdict::Flowing);
+        }
+    }
+}
+
 // Guards against a suspension that continues after the runner has restarted.
 TEST_CASE("A failing runner is passed over for a time that grows, and is forgiven on its restart")
 {
--- a/packages/gateway/fuchsialb/src/Gateway/Call.h
+++ b/packages/gateway/fuchsialb/src/Gateway/Call.h
@@ -42,6 +42,8 @@
     virtual void start() = 0;
     /// Checks timeouts; called every few milliseconds while the request is open.
     virtual void tick(TimePoint now) = 0;
+    /// Called before `tick` when this host was held up, so that events of runners may wait unread.
+    virtual void hostHeldUp(TimePoint) { }
     /// Tries to start a queued request.
     /// \return Whether the request is no longer queued.
     virtual bool admit() { return true; }
--- a/packages/gateway/fuchsialb/src/Gateway/RequestDispatcher.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/RequestDispatcher.cpp
@@ -156,6 +156,8 @@
 void RequestDispatcher::tick()
 {
     const TimePoint now = m_context.now();
+    if (const auto gap = m_context.hostPause.tick(now))
+        reportHostPause(*gap, now);
     for (const auto& call : openCalls())
         call->tick(now);
     admitQueued();
@@ -167,6 +169,18 @@
     }
 }
 
+void RequestDispatcher::reportHostPause(Duration gap, TimePoint now)
+{
+    const auto calls = openCalls();
+    LogLine line("host-held-up");
+    line.add("gap_ms", std::chrono::duration_cast<std::chrono::milliseconds>(gap).count());
+    line.add("open_requests", static_cast<std::int64_t>(calls.size()));
+    m_context.log.log(line);
+    m_context.metrics.observe("host_pause", gap);
+    for (const auto& call : calls)
+        call->hostHeldUp(now);
+}
+
 void RequestDispatcher::admitQueued()
 {
     // Stop after several requests without capacity: less urgent ones would take the capacity that these wait for.
--- a/packages/gateway/fuchsialb/src/Gateway/RequestDispatcher.h
+++ b/packages/gateway/fuchsialb/src/Gateway/RequestDispatcher.h
@@ -32,6 +32,8 @@
     /// \return A copy of the open calls, since calls may finish during iteration.
     std::vector<std::shared_ptr<Call>> openCalls() const;
     void admitQueued();
+    /// Tells the open calls that this host was held up.
+    void reportHostPause(Duration gap, TimePoint now);
 
     GatewayContext& m_context;
     std::map<AdmissionQueue::Key, std::shared_ptr<Call>> m_openCalls;
--- a/packages/gateway/fuchsialb/src/Gateway/RunnerControl.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/RunnerControl.cpp
@@ -36,7 +36,13 @@
             recordRunnerNotices(context, asked, notices, response.status);
         onReport(report);
     };
-    handlers.onFailure = [onReport](const HttpFailure& failure) { onReport(failure.status); };
+    handlers.onFailure = [&context, onReport](const HttpFailure& failure) {
+        // The report may wait unread.
+        if (context.hostPause.overdue(context.now()))
+            onReport(error(Reason::Cancelled, "this host was held up"));
+        else
+            onReport(failure.status);
+    };
     if (const auto started = context.http.start(std::move(request), std::move(handlers)); !started.ok())
         onReport(started.status());
 }
--- a/packages/gateway/fuchsialb/src/Gateway/StreamCall.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/StreamCall.cpp
@@ -360,7 +360,7 @@
     const EndpointId first = m_path.front().runner;
     const bool broken = isPathBroken(m_context.now());
     releasePath();
-    if (failure.notSent)
+    if (failure.notSent && !m_context.hostPause.overdue(m_context.now()))
         recordDead(first, "unreachable");
     else if (!broken)
         recordFailure(first, reasonName(reasonOf(failure.status)), brokenStreamSuspension);
@@ -503,6 +503,12 @@
         replaceRun(isStalled ? "stalled" : "runner-lost");
 }
 
+void StreamCall::hostHeldUp(TimePoint now)
+{
+    if (m_stallDetector)
+        m_stallDetector->recordHostPause(now);
+}
+
 void StreamCall::diagnoseStall()
 {
     const auto self = std::static_pointer_cast<StreamCall>(shared_from_this());
@@ -546,8 +552,8 @@
             }
             if (self->isFinished() || self->m_runs != run || !self->m_exchange)
                 return;
-            // The first runner has sent an event since it was asked, so the pause is over.
-            if (self->m_stallDetector->lastEvent() >= askedAt)
+            // Since the first runner was asked, it has sent an event, or this host was held up.
+            if (self->m_stallDetector->pauseStart() >= askedAt)
                 return;
             self->recordDead(first, "silent");
         });
@@ -593,7 +599,7 @@
     const TimePoint now = m_context.now();
     // A stream with a more recent event doesn't depend on the lost runner.
     constexpr Duration maxEventGap = std::chrono::milliseconds(250);
-    if (!isOnPath(runner) || isFinished() || !m_exchange || now - m_stallDetector->lastEvent() < maxEventGap)
+    if (!isOnPath(runner) || isFinished() || !m_exchange || now - m_stallDetector->pauseStart() < maxEventGap)
         return;
     recordSuspicion(runner);
     m_repair.add(runner, true);
--- a/packages/gateway/fuchsialb/src/Gateway/StreamCall.h
+++ b/packages/gateway/fuchsialb/src/Gateway/StreamCall.h
@@ -20,6 +20,7 @@
 
     void start() override;
     void tick(TimePoint now) override;
+    void hostHeldUp(TimePoint now) override;
     bool admit() override;
     void queueTimedOut() override;
     void runnerLost(const EndpointId& runner) override;
