Let a stopped stream reserve no room and ask no more once it knows the stage

Cause: a run that is kept for want of another one held its reservation on all stages of its path, so other streams and new requests found no room, and its first runner was asked again each 0.3 s though the dead stage was known. Change: the reservation ends when the run is to be replaced and begins again with its next event or path. No question while a stage is known to be dead.

--- a/packages/gateway/fuchsialb/src/Gateway/StreamCall.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/StreamCall.cpp
@@ -195,7 +195,7 @@
         m_history.recordRun(first->entry);
         m_firstStartedAt = first->entry.startedAt;
     }
-    m_context.ledger.reserve(m_path, expectedTokens());
+    reservePath();
     ++m_runs;
     m_splitter = {};
     m_stallDetector.emplace(StallDetector::Limits {}, now);
@@ -377,6 +377,7 @@
 {
     const Duration pause = now - m_stallDetector->lastEvent();
     m_stallDetector->recordEvent(now);
+    reservePath();
     if (!m_repair.hasDeadStage() && !m_suspected.contains(m_path.front().runner))
         return;
     if (now - m_suspectedAt < maxEventTransit)
@@ -416,12 +417,25 @@
     m_context.metrics.count("runners_blamed", "cause", cause);
 }
 
+void StreamCall::reservePath()
+{
+    if (!std::exchange(m_isPathReserved, true))
+        m_context.ledger.reserve(m_path, expectedTokens());
+}
+
+void StreamCall::cancelReservation()
+{
+    if (std::exchange(m_isPathReserved, false))
+        m_context.ledger.release(m_path, expectedTokens());
+}
+
 void StreamCall::releasePath()
 {
     m_exchange.reset();
     m_repair.clear();
     m_pathChangePending = false;
-    m_context.ledger.release(std::exchange(m_path, {}), expectedTokens());
+    cancelReservation();
+    m_path.clear();
 }
 
 void StreamCall::failOver(std::string_view cause, bool mayHaveRun)
@@ -447,12 +461,11 @@
 {
     const TimePoint now = m_context.now();
     m_nextReplacementAt = now + replacementInterval;
+    // A stream that has stopped must not keep others from the room that they need to go on, nor itself.
+    cancelReservation();
     if (!mayRunAgain() || !m_context.retryBudget.tryTake(now, m_context.hosts.size()))
         return;
-    // The room on the current path is free for its replacement.
-    m_context.ledger.release(m_path, expectedTokens());
     auto path = findPath(now);
-    m_context.ledger.reserve(m_path, expectedTokens());
     if (!path) {
         m_context.retryBudget.giveBack();
         return;
@@ -495,12 +508,12 @@
     if (!m_repair.empty() && !m_pathChangePending && now >= m_nextRerouteAt && reroute(now))
         return;
     const StallDetector::Verdict verdict = m_stallDetector->check(now);
-    if (verdict == StallDetector::Verdict::Ask)
-        diagnoseStall();
     const bool isStalled = verdict == StallDetector::Verdict::GiveUp;
     const bool isSuspected = m_repair.hasDeadStage() && !m_pathChangePending;
-    if (m_exchange && (isStalled || isSuspected) && now >= m_nextReplacementAt)
+    if ((isStalled || isSuspected) && now >= m_nextReplacementAt)
         replaceRun(isStalled ? "stalled" : "runner-lost");
+    else if (verdict == StallDetector::Verdict::Ask && !isSuspected)
+        diagnoseStall();
 }
 
 void StreamCall::hostHeldUp(TimePoint now)
@@ -636,9 +649,9 @@
     if (!newPath)
         return false;
     m_pathChangePending = true;
+    cancelReservation();
     const Path previousPath = std::exchange(m_path, *std::move(newPath));
-    m_context.ledger.release(previousPath, expectedTokens());
-    m_context.ledger.reserve(m_path, expectedTokens());
+    reservePath();
     const auto self = std::static_pointer_cast<StreamCall>(shared_from_this());
     const std::uint32_t run = m_runs;
     sendPathChangeOrder(
@@ -687,9 +700,9 @@
 
 void StreamCall::handleRefusedPathChange(const Path& previousPath, const PathChangeResult& result)
 {
-    m_context.ledger.release(m_path, expectedTokens());
+    cancelReservation();
     const Path orderedPath = std::exchange(m_path, previousPath);
-    m_context.ledger.reserve(m_path, expectedTokens());
+    reservePath();
     // Without a response nothing was learnt, and the order may be repeated.
     if (result.outcome == OrderOutcome::Unknown)
         return;
--- a/packages/gateway/fuchsialb/src/Gateway/StreamCall.h
+++ b/packages/gateway/fuchsialb/src/Gateway/StreamCall.h
@@ -74,6 +74,8 @@
     /// \param askedAt When the first runner was asked.
     void checkSilentRunner(TimePoint askedAt);
     void recordUnexplainedStall(const EndpointId& first, const EndpointId& control);
+    void reservePath();
+    void cancelReservation();
     /// Forgets the exchange and releases the capacity reserved on the path.
     void releasePath();
     /// \brief Runs the request on another path instead of the current run, which has stopped.
@@ -100,6 +102,7 @@
     const Duration& m_meanDuration;
     OnRunnerLost m_onRunnerLost;
     Path m_path;
+    bool m_isPathReserved = false;
     /// Start of the process of the first runner on the path, as known when the request was sent there.
     std::int64_t m_firstStartedAt = 0;
     std::optional<HttpExchangeId> m_exchange;
