--- a/packages/core/tests/FleetAdmissionTest.cpp
+++ b/packages/core/tests/FleetAdmissionTest.cpp
@@ -92,6 +92,9 @@
     CHECK(taken > 10);
     CHECK(taken <= 100 / 10 + 50 * 0.2);
     CHECK_FALSE(budget.tryTake(now + 9s, 10));
+    budget.giveBack();
+    CHECK(budget.tryTake(now + 9s, 10));
+    CHECK_FALSE(budget.tryTake(now + 9s, 10));
     CHECK(budget.tryTake(now + 10s, 10));
 }
 
@@ -99,9 +102,20 @@
 // and when the first then refused to resume it, the refusal removed that runner's earlier run from the count.
 TEST_CASE("A request runs at no more runners than its route allows")
 {
+    const auto runner = [](const char* id, const char* address, std::int64_t startedAt) {
+        RunnerEntry entry;
+        entry.id = EndpointId(id);
+        entry.address = address;
+        entry.startedAt = startedAt;
+        return entry;
+    };
+    const RunnerEntry a = runner("a", "10.0.0.1:80", 1000);
+    const RunnerEntry b = runner("b", "10.0.0.2:80", 1000);
+    RunnerDirectory directory;
+    directory.replaceAll({ a, b });
     RunHistory history(2);
-    history.recordRun(EndpointId("a"));
-    CHECK(history.mayUseAnotherRunner());
+    history.recordRun(a);
+    CHECK(history.mayUseAnotherRunner(directory));
 
     SECTION("a refused run does not count")
     {
@@ -111,18 +125,52 @@
 
     SECTION("a refusal does not undo an earlier run at the same runner")
     {
-        history.recordRun(EndpointId("b"));
-        CHECK_FALSE(history.mayUseAnotherRunner());
-        history.recordRun(EndpointId("a"));
+        history.recordRun(b);
+        CHECK_FALSE(history.mayUseAnotherRunner(directory));
+        history.recordRun(a);
         history.discardLast();
-        CHECK_FALSE(history.mayUseAnotherRunner());
+        CHECK_FALSE(history.mayUseAnotherRunner(directory));
     }
 
-    SECTION("runners that died do not count")
+    SECTION("a runner that was found dead counts, since it may only be silent")
     {
-        history.recordRun(EndpointId("b"));
-        history.removeDead(EndpointId("b"));
-        CHECK(history.mayUseAnotherRunner());
+        history.recordRun(b);
+        directory.markDead(b.id, TimePoint(10s), 3s);
+        CHECK_FALSE(history.mayUseAnotherRunner(directory));
+    }
+
+    SECTION("a runner that the registry lacks counts, since it may serve on")
+    {
+        history.recordRun(b);
+        directory.remove(b.id);
+        CHECK_FALSE(history.mayUseAnotherRunner(directory));
+    }
+
+    SECTION("a runner that has started again since does not count")
+    {
+        history.recordRun(b);
+        directory.put(runner("b", "10.0.0.2:80", 2000));
+        CHECK(history.mayUseAnotherRunner(directory));
+
+        SECTION("until the request is sent to it again")
+        {
+            history.recordRun(runner("b", "10.0.0.2:80", 2000));
+            CHECK_FALSE(history.mayUseAnotherRunner(directory));
+        }
+    }
+
+    SECTION("a runner whose address belongs to another one does not count")
+    {
+        history.recordRun(b);
+        directory.put(runner("c", "10.0.0.2:80", 2000));
+        CHECK(history.mayUseAnotherRunner(directory));
+    }
+
+    SECTION("an older entry with the same address says nothing")
+    {
+        history.recordRun(b);
+        directory.put(runner("c", "10.0.0.2:80", 500));
+        CHECK_FALSE(history.mayUseAnotherRunner(directory));
     }
 }
 
@@ -141,6 +189,47 @@
     CHECK(detector.check(now + 1400ms) == Verdict::Flowing);
 }
 
+// Guards against a host that was stopped itself and takes the time for its runners' silence.
+TEST_CASE("A host that was held up doubts itself first")
+{
+    using Verdict = StallDetector::Verdict;
+    const TimePoint now { 10s };
+    HostPauseDetector host(250ms);
+    CHECK_FALSE(host.tick(now));
+    CHECK_FALSE(host.tick(now + 250ms));
+    CHECK_FALSE(host.overdue(now + 500ms));
+
+    SECTION("a late tick is noticed before and by the tick, once")
+    {
+        CHECK(host.overdue(now + 501ms));
+        CHECK(host.tick(now + 2s) == Duration(1750ms));
+        CHECK_FALSE(host.overdue(now + 2s));
+        CHECK_FALSE(host.tick(now + 2s + 25ms));
+    }
+
+    SECTION("a stream's pause starts anew")
+    {
+        StallDetector detector({}, now);
+        detector.recordHostPause(now + 2s);
+        CHECK(detector.check(now + 2s) == Verdict::Flowing);
+        CHECK(detector.check(now + 2460ms) == Verdict::Ask);
+        CHECK(detector.lastEvent() == now);
+
+        SECTION("but once only, so that a dead runner is still noticed by a host that is held up again")
+        {
+            detector.recordHostPause(now + 3s);
+            CHECK(detector.check(now + 3300ms) == Verdict::GiveUp);
+        }
+
+        SECTION("and again after an event")
+        {
+            detector.recordEvent(now + 3s);
+            detector.recordHostPause(now + 5s);
+            CHECK(detector.check(now + 5s) == Verdict::Flowing);
+        }
+    }
+}
+
 // Guards against a suspension that continues after the runner has restarted.
 TEST_CASE("A failing runner is passed over for a time that grows, and is forgiven on its restart")
 {
@@ -163,6 +252,16 @@
         CHECK(directory.find(entry.id)->usable(now + 100ms));
     }
 
+    SECTION("an answer of a runner that was found dead ends the suspension, since it was only silent")
+    {
+        now += 200ms;
+        directory.markDead(entry.id, now, 3s);
+        CHECK_FALSE(directory.find(entry.id)->usable(now + 100ms));
+        directory.recordSuccess(entry.id, now + 100ms);
+        CHECK(directory.find(entry.id)->usable(now + 100ms));
+        CHECK_FALSE(directory.find(entry.id)->lost(now + 100ms));
+    }
+
     SECTION("a restart under the same id ends the suspension")
     {
         entry.startedAt += 1;
--- a/packages/gateway/fuchsialb/src/Gateway/StreamCall.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/StreamCall.cpp
@@ -28,6 +28,10 @@
     constexpr Duration rerouteDelay = std::chrono::milliseconds(1100);
     // Interval between attempts to reroute a request while other runners load the layers of the draining stage.
     constexpr Duration rerouteRetryInterval = std::chrono::milliseconds(200);
+    // Interval between attempts to replace a run that has stopped, while no other path has room.
+    constexpr Duration replacementInterval = std::chrono::milliseconds(200);
+    // An event that arrives within this time of a suspicion may have passed the suspected stage before it died.
+    constexpr Duration maxEventTransit = std::chrono::milliseconds(300);
     constexpr std::uint32_t statusMisdirectedRequest = 421;
 
     /// \return Comma-separated data centres of a path, in order.
@@ -67,14 +71,14 @@
     return static_cast<double>(request.promptTokens + output);
 }
 
-bool StreamCall::mayRetry() const
+bool StreamCall::mayRetry() const { return !m_mayHaveRun || mayRunAgain(); }
+
+bool StreamCall::mayRunAgain() const
 {
-    if (!m_mayHaveRun)
-        return true;
-    const std::set<EndpointId>& usedRunners = m_history.runners();
+    const std::set<EndpointId> usedRunners = m_history.runners();
     const bool anyUsable = std::any_of(
         usedRunners.begin(), usedRunners.end(), [&](const EndpointId& runner) { return !m_excluded.contains(runner); });
-    return m_matched.route->mayRetry() && (m_history.mayUseAnotherRunner() || anyUsable);
+    return m_matched.route->mayRetry() && (m_history.mayUseAnotherRunner(m_context.runners) || anyUsable);
 }
 
 void StreamCall::start()
@@ -109,6 +113,11 @@
     PathRequest request { m_matched.service->name, m_context.settings.dataCentre, expectedTokens(), cacheLimit,
         m_excluded };
     request.requestId = m_matched.request.id;
+    // A suspected runner that proves to be alive is the only choice left once the route allows no other one.
+    if (m_history.mayUseAnotherRunner(m_context.runners))
+        request.excluded.insert(m_suspected.begin(), m_suspected.end());
+    else
+        request.allowedFirstRunners = m_history.runners();
     return request;
 }
 
@@ -123,10 +132,14 @@
 
 std::optional<Path> StreamCall::findPath(TimePoint now)
 {
+    const double limit = m_runs > 0 ? resumeCacheLimit : AdmissionPolicy::cacheLimit(m_matched.urgency);
+    PathRequest request = pathRequest(limit);
     if (!m_matched.service->engine) {
         const RunnerDirectory::Runner* best = nullptr;
         for (const auto& [id, runner] : m_context.runners.runners()) {
-            if (runner.entry.service != m_matched.service->name || !runner.usable(now) || m_excluded.contains(id))
+            if (runner.entry.service != m_matched.service->name || !runner.usable(now) || request.excluded.contains(id))
+                continue;
+            if (!request.allowedFirstRunners.empty() && !request.allowedFirstRunners.contains(id))
                 continue;
             if (!best || m_context.ledger.at(id).firstStages < m_context.ledger.at(best->entry.id).firstStages)
                 best = &runner;
@@ -135,12 +148,8 @@
                     : std::nullopt;
     }
     const PathFinder finder(m_context.runners, m_context.ledger);
-    const double limit = m_runs > 0 ? resumeCacheLimit : AdmissionPolicy::cacheLimit(m_matched.urgency);
     const EngineProfile& engine = *m_matched.service->engine;
-    PathRequest request = pathRequest(limit);
     request.mayCrossDataCentres = engine.linkMegabits <= 0 || m_context.linkBudget.allows(now, m_context.hosts.size());
-    if (!m_history.mayUseAnotherRunner())
-        request.allowedFirstRunners = m_history.runners();
     auto path = finder.find(request, engine, now);
     if (path)
         m_context.linkBudget.take(
@@ -182,10 +191,11 @@
 {
     const TimePoint now = m_context.now();
     m_path = std::move(path);
-    m_history.recordRun(m_path.front().runner);
-    if (const RunnerDirectory::Runner* first = m_context.runners.find(m_path.front().runner))
+    if (const RunnerDirectory::Runner* first = m_context.runners.find(m_path.front().runner)) {
+        m_history.recordRun(first->entry);
         m_firstStartedAt = first->entry.startedAt;
-    m_context.ledger.reserve(m_path, expectedTokens());
+    }
+    reservePath();
     ++m_runs;
     m_splitter = {};
     m_stallDetector.emplace(StallDetector::Limits {}, now);
@@ -268,7 +278,7 @@
     }
     if (text.empty())
         return;
-    m_stallDetector->recordEvent(now);
+    recordProgress(now);
     if (!m_responseStarted) {
         m_responseStarted = true;
         m_context.metrics.observe("first_event", now - m_matched.receivedAt);
@@ -350,7 +360,7 @@
     const EndpointId first = m_path.front().runner;
     const bool broken = isPathBroken(m_context.now());
     releasePath();
-    if (failure.notSent)
+    if (failure.notSent && !m_context.hostPause.overdue(m_context.now()))
         recordDead(first, "unreachable");
     else if (!broken)
         recordFailure(first, reasonName(reasonOf(failure.status)), brokenStreamSuspension);
@@ -363,12 +373,38 @@
     logFailure(runner, cause);
 }
 
+void StreamCall::recordProgress(TimePoint now)
+{
+    const Duration pause = now - m_stallDetector->lastEvent();
+    m_stallDetector->recordEvent(now);
+    reservePath();
+    if (!m_repair.hasDeadStage() && !m_suspected.contains(m_path.front().runner))
+        return;
+    if (now - m_suspectedAt < maxEventTransit)
+        return;
+    // An event has passed through all stages, so none of them is dead.
+    m_repair.discardDead();
+    for (const PathStage& stage : m_path) {
+        m_suspected.erase(stage.runner);
+        m_context.runners.recordSuccess(stage.runner, now);
+    }
+    LogLine line = logLine("suspicion-refuted");
+    line.add("run", static_cast<std::int64_t>(m_runs)).add("first", m_path.front().runner.value());
+    line.add("pause_ms", std::chrono::duration_cast<std::chrono::milliseconds>(pause).count());
+    m_context.log.log(line);
+    m_context.metrics.count("suspicions", "outcome", "refuted");
+}
+
+void StreamCall::recordSuspicion(const EndpointId& runner)
+{
+    m_suspected.insert(runner);
+    m_suspectedAt = m_context.now();
+}
+
 void StreamCall::recordDead(const EndpointId& runner, std::string_view cause)
 {
     m_context.runners.markDead(runner, m_context.now(), deadSuspension);
-    m_excluded.insert(runner);
-    // Dead runners don't count towards the maximum number of runners per request.
-    m_history.removeDead(runner);
+    recordSuspicion(runner);
     logFailure(runner, cause);
     m_onRunnerLost(runner);
 }
@@ -381,12 +417,25 @@
     m_context.metrics.count("runners_blamed", "cause", cause);
 }
 
+void StreamCall::reservePath()
+{
+    if (!std::exchange(m_isPathReserved, true))
+        m_context.ledger.reserve(m_path, expectedTokens());
+}
+
+void StreamCall::cancelReservation()
+{
+    if (std::exchange(m_isPathReserved, false))
+        m_context.ledger.release(m_path, expectedTokens());
+}
+
 void StreamCall::releasePath()
 {
     m_exchange.reset();
     m_repair.clear();
     m_pathChangePending = false;
-    m_context.ledger.release(std::exchange(m_path, {}), expectedTokens());
+    cancelReservation();
+    m_path.clear();
 }
 
 void StreamCall::failOver(std::string_view cause, bool mayHaveRun)
@@ -408,6 +457,31 @@
         enqueue(m_responseStarted ? maxResumeWait : AdmissionPolicy::maxWait(m_matched.route->latencyObjective));
 }
 
+void StreamCall::replaceRun(std::string_view cause)
+{
+    const TimePoint now = m_context.now();
+    m_nextReplacementAt = now + replacementInterval;
+    // A stream that has stopped must not keep others from the room that they need to go on, nor itself.
+    cancelReservation();
+    if (!mayRunAgain() || !m_context.retryBudget.tryTake(now, m_context.hosts.size()))
+        return;
+    auto path = findPath(now);
+    if (!path) {
+        m_context.retryBudget.giveBack();
+        return;
+    }
+    LogLine line = logLine("run-given-up");
+    line.add("run", static_cast<std::int64_t>(m_runs)).add("cause", cause);
+    line.add("first", m_path.front().runner.value());
+    const Duration pause = now - m_stallDetector->lastEvent();
+    line.add("pause_ms", std::chrono::duration_cast<std::chrono::milliseconds>(pause).count());
+    m_context.log.log(line);
+    m_context.metrics.count("runs_given_up", "cause", cause);
+    m_mayHaveRun = true;
+    cancelRun();
+    startRun(*std::move(path));
+}
+
 void StreamCall::fail(std::string_view cause)
 {
     if (m_responseStarted)
@@ -431,22 +505,21 @@
     }
     if (!m_exchange || !m_stallDetector)
         return;
-    if (!m_repair.empty() && !m_pathChangePending && now >= m_nextRerouteAt)
-        reroute(now);
-    switch (m_stallDetector->check(now)) {
-    case StallDetector::Verdict::Flowing:
+    if (!m_repair.empty() && !m_pathChangePending && now >= m_nextRerouteAt && reroute(now))
         return;
-    case StallDetector::Verdict::Ask:
+    const StallDetector::Verdict verdict = m_stallDetector->check(now);
+    const bool isStalled = verdict == StallDetector::Verdict::GiveUp;
+    const bool isSuspected = m_repair.hasDeadStage() && !m_pathChangePending;
+    if ((isStalled || isSuspected) && now >= m_nextReplacementAt)
+        replaceRun(isStalled ? "stalled" : "runner-lost");
+    else if (verdict == StallDetector::Verdict::Ask && !isSuspected)
         diagnoseStall();
-        return;
-    case StallDetector::Verdict::GiveUp:
-        // Keep waiting if the request can't be retried, since waiting costs nothing then.
-        if (!mayRetry() || !m_matched.route->mayRetry())
-            return;
-        cancelRun();
-        failOver("stalled", true);
-        return;
-    }
+}
+
+void StreamCall::hostHeldUp(TimePoint now)
+{
+    if (m_stallDetector)
+        m_stallDetector->recordHostPause(now);
 }
 
 void StreamCall::diagnoseStall()
@@ -492,8 +565,8 @@
             }
             if (self->isFinished() || self->m_runs != run || !self->m_exchange)
                 return;
-            // The first runner has sent an event since it was asked, so the pause is over.
-            if (self->m_stallDetector->lastEvent() >= askedAt)
+            // Since the first runner was asked, it has sent an event, or this host was held up.
+            if (self->m_stallDetector->pauseStart() >= askedAt)
                 return;
             self->recordDead(first, "silent");
         });
@@ -539,15 +612,12 @@
     const TimePoint now = m_context.now();
     // A stream with a more recent event doesn't depend on the lost runner.
     constexpr Duration maxEventGap = std::chrono::milliseconds(250);
-    if (!isOnPath(runner) || isFinished() || !m_exchange || now - m_stallDetector->lastEvent() < maxEventGap)
+    if (!isOnPath(runner) || isFinished() || !m_exchange || now - m_stallDetector->pauseStart() < maxEventGap)
         return;
-    m_excluded.insert(runner);
+    recordSuspicion(runner);
     m_repair.add(runner, true);
-    if (m_pathChangePending || reroute(now) || !m_matched.route->mayRetry())
-        return;
-    m_history.removeDead(runner);
-    cancelRun();
-    failOver("runner-lost", true);
+    if (!m_pathChangePending && !reroute(now))
+        replaceRun("runner-lost");
 }
 
 void StreamCall::runnerLeaving(const EndpointId& runner)
@@ -579,9 +649,9 @@
     if (!newPath)
         return false;
     m_pathChangePending = true;
+    cancelReservation();
     const Path previousPath = std::exchange(m_path, *std::move(newPath));
-    m_context.ledger.release(previousPath, expectedTokens());
-    m_context.ledger.reserve(m_path, expectedTokens());
+    reservePath();
     const auto self = std::static_pointer_cast<StreamCall>(shared_from_this());
     const std::uint32_t run = m_runs;
     sendPathChangeOrder(
@@ -624,17 +694,15 @@
         return;
     }
     handleRefusedPathChange(previousPath, result);
-    if (!m_repair.hasDeadStage() || !m_matched.route->mayRetry())
-        return;
-    cancelRun();
-    failOver("runner-lost", true);
+    if (m_repair.hasDeadStage())
+        replaceRun("runner-lost");
 }
 
 void StreamCall::handleRefusedPathChange(const Path& previousPath, const PathChangeResult& result)
 {
-    m_context.ledger.release(m_path, expectedTokens());
+    cancelReservation();
     const Path orderedPath = std::exchange(m_path, previousPath);
-    m_context.ledger.reserve(m_path, expectedTokens());
+    reservePath();
     // Without a response nothing was learnt, and the order may be repeated.
     if (result.outcome == OrderOutcome::Unknown)
         return;
@@ -650,6 +718,7 @@
 void StreamCall::addLogFields(LogLine& line) const
 {
     line.add("runs", static_cast<std::int64_t>(m_runs)).add("waiting", m_isQueued ? 1 : 0);
+    line.add("runners", static_cast<std::int64_t>(m_history.runners().size()));
     line.add("last_event", static_cast<std::int64_t>(m_lastEventId.value_or(0)));
     if (!m_stallDetector)
         return;
