Let the review's findings on suspicions hold: flowing streams, old starts

Change: - A stream that has sent an event within 250 ms isn't replaced or rerouted for a suspicion that the event answers. - One report of a lost runner is enough for a stream; each of S waiting streams searched paths again for each report. - A suspected runner that has answered since is used again; past the limit only first runners that were used are, not later stages. - An event doesn't refute while a path change is unanswered. - An outdated entry with an earlier start neither undoes a run nor proves its end. - A refusal after a suspension is no longer passed on to peers as death. - After a pause of its own a host orders no placement for 1.5 s, and a plain request's failed connection counts as a short failure. Result: new sections of core.FleetAdmissionTest (earlier start, later refusal, recent pause) pass, as do the core Fleet tests of routing and placement and platform.SilentRunnerTest, StallBlameTest and PathChangeTest (Release, beside builds). The rest has no test of its own.

--- a/packages/core/fuchsialb/src/Fleet/HostPauseDetector.h
+++ b/packages/core/fuchsialb/src/Fleet/HostPauseDetector.h
@@ -24,15 +24,24 @@
         const bool wasOverdue = overdue(now);
         const Duration gap = m_lastTick ? now - *m_lastTick : Duration::zero();
         m_lastTick = now;
+        if (wasOverdue)
+            m_lastPauseEnd = now;
         return wasOverdue ? std::optional(gap) : std::nullopt;
     }
 
     /// \return Whether the host has been held up and hasn't ticked since.
     bool overdue(TimePoint now) const { return m_lastTick && now - *m_lastTick > m_maxGap; }
 
+    /// \return Whether the host is held up, or was within `time` before `now`.
+    bool heldUpWithin(Duration time, TimePoint now) const
+    {
+        return overdue(now) || (m_lastPauseEnd && now - *m_lastPauseEnd < time);
+    }
+
 private:
     Duration m_maxGap;
     std::optional<TimePoint> m_lastTick;
+    std::optional<TimePoint> m_lastPauseEnd;
 };
 
 } // namespace fuchsialb
--- a/packages/core/fuchsialb/src/Fleet/RunHistory.cpp
+++ b/packages/core/fuchsialb/src/Fleet/RunHistory.cpp
@@ -8,9 +8,11 @@
 {
     m_last = runner.id;
     const auto [found, inserted] = m_runners.try_emplace(runner.id);
-    // An earlier run at the same id has ended if the process started again since.
-    m_lastIsNew = inserted || found->second.startedAt != runner.startedAt;
-    found->second = { runner.address, runner.startedAt };
+    // An earlier run at the same id has ended if the process started again since. An outdated registry may name an
+    // earlier start, which says nothing.
+    m_lastIsNew = inserted || runner.startedAt > found->second.startedAt;
+    if (m_lastIsNew)
+        found->second = { runner.address, runner.startedAt };
 }
 
 void RunHistory::discardLast()
--- a/packages/core/fuchsialb/src/Fleet/RunnerDirectory.cpp
+++ b/packages/core/fuchsialb/src/Fleet/RunnerDirectory.cpp
@@ -154,6 +154,7 @@
     if (runner.failures++ == 0)
         runner.failingSince = now;
     runner.markedDead = false;
+    runner.markedDeadLocally = false;
 }
 
 void RunnerDirectory::markDead(const EndpointId& id, TimePoint now, Duration suspension)
--- a/packages/core/tests/FleetAdmissionTest.cpp
+++ b/packages/core/tests/FleetAdmissionTest.cpp
@@ -166,6 +166,14 @@
         CHECK(history.mayUseAnotherRunner(directory));
     }
 
+    SECTION("an outdated entry with an earlier start undoes no run, and the later start then proves nothing")
+    {
+        history.recordRun(b);
+        history.recordRun(runner("b", "10.0.0.2:80", 500));
+        history.discardLast();
+        CHECK_FALSE(history.mayUseAnotherRunner(directory));
+    }
+
     SECTION("an older entry with the same address says nothing")
     {
         history.recordRun(b);
@@ -205,6 +213,11 @@
         CHECK(host.tick(now + 2s) == Duration(1750ms));
         CHECK_FALSE(host.overdue(now + 2s));
         CHECK_FALSE(host.tick(now + 2s + 25ms));
+        CHECK(host.heldUpWithin(1s, now + 2900ms));
+        CHECK_FALSE(host.tick(now + 2s + 50ms));
+        for (TimePoint later = now + 2s + 100ms; later < now + 3s; later += 100ms)
+            CHECK_FALSE(host.tick(later));
+        CHECK_FALSE(host.heldUpWithin(1s, now + 3s));
     }
 
     SECTION("a stream's pause starts anew")
@@ -262,6 +275,16 @@
         CHECK_FALSE(directory.find(entry.id)->lost(now + 100ms));
     }
 
+    SECTION("a later refusal doesn't count as a finding of death")
+    {
+        now += 200ms;
+        directory.markDead(entry.id, now, 3s);
+        now += 7s;
+        directory.recordFailure(entry.id, now, 300ms);
+        CHECK_FALSE(directory.find(entry.id)->dead(now));
+        CHECK_FALSE(directory.find(entry.id)->markedDeadLocally);
+    }
+
     SECTION("a restart under the same id ends the suspension")
     {
         entry.startedAt += 1;
--- a/packages/gateway/fuchsialb/src/Gateway/PlacementCoordinator.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/PlacementCoordinator.cpp
@@ -17,6 +17,8 @@
     // Between two inquiries at a runner that other hosts found dead; longer than its report and that of a second runner
     // may take.
     constexpr Duration checkInterval = std::chrono::milliseconds(900);
+    // Longer than the silence after which a host takes over from another one.
+    constexpr Duration takeOverDelay = std::chrono::milliseconds(1500);
     // As for a runner that a request finds dead.
     constexpr Duration deadSuspension = std::chrono::seconds(3);
 
@@ -30,6 +32,9 @@
     const auto table = m_context.configuration.table();
     if (!table || m_context.stopping || now - m_startedAt < hostRegistrationTime)
         return;
+    // Another host may have taken over meanwhile, and its beats may wait unread.
+    if (m_context.hostPause.heldUpWithin(takeOverDelay, now))
+        return;
     std::set<DataCentreId> dataCentres;
     for (const auto& [id, runner] : m_context.runners.runners())
         dataCentres.insert(runner.entry.dataCentre);
--- a/packages/gateway/fuchsialb/src/Gateway/StreamCall.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/StreamCall.cpp
@@ -113,11 +113,15 @@
     PathRequest request { m_matched.service->name, m_context.settings.dataCentre, expectedTokens(), cacheLimit,
         m_excluded };
     request.requestId = m_matched.request.id;
-    // A suspected runner that proves to be alive is the only choice left once the route allows no other one.
-    if (m_history.mayUseAnotherRunner(m_context.runners))
-        request.excluded.insert(m_suspected.begin(), m_suspected.end());
-    else
+    // Once the route allows no other runner, one that was suspected is tried again as soon as it is usable.
+    if (!m_history.mayUseAnotherRunner(m_context.runners))
         request.allowedFirstRunners = m_history.runners();
+    for (const EndpointId& id : m_suspected) {
+        const RunnerDirectory::Runner* runner = m_context.runners.find(id);
+        const bool hasAnswered = runner && runner->succeededAt > m_suspectedAt;
+        if (!hasAnswered && !request.allowedFirstRunners.contains(id))
+            request.excluded.insert(id);
+    }
     return request;
 }
 
@@ -380,7 +384,8 @@
     reservePath();
     if (!m_repair.hasDeadStage() && !m_suspected.contains(m_path.front().runner))
         return;
-    if (now - m_suspectedAt < maxEventTransit)
+    // The stages of a path that was ordered and isn't answered yet may be other ones.
+    if (m_pathChangePending || now - m_suspectedAt < maxEventTransit)
         return;
     // An event has passed through all stages, so none of them is dead.
     m_repair.discardDead();
@@ -460,6 +465,8 @@
 void StreamCall::replaceRun(std::string_view cause)
 {
     const TimePoint now = m_context.now();
+    if (isFlowing(now))
+        return;
     m_nextReplacementAt = now + replacementInterval;
     // A stream that has stopped must not keep others from the room that they need to go on, nor itself.
     cancelReservation();
@@ -505,7 +512,8 @@
     }
     if (!m_exchange || !m_stallDetector)
         return;
-    if (!m_repair.empty() && !m_pathChangePending && now >= m_nextRerouteAt && reroute(now))
+    const bool mayReroute = !m_repair.empty() && !(m_repair.hasDeadStage() && isFlowing(now));
+    if (mayReroute && !m_pathChangePending && now >= m_nextRerouteAt && reroute(now))
         return;
     const StallDetector::Verdict verdict = m_stallDetector->check(now);
     const bool isStalled = verdict == StallDetector::Verdict::GiveUp;
@@ -607,12 +615,19 @@
     });
 }
 
+bool StreamCall::isFlowing(TimePoint now) const
+{
+    constexpr Duration maxEventGap = std::chrono::milliseconds(250);
+    return now - m_stallDetector->pauseStart() < maxEventGap;
+}
+
 void StreamCall::runnerLost(const EndpointId& runner)
 {
     const TimePoint now = m_context.now();
-    // A stream with a more recent event doesn't depend on the lost runner.
-    constexpr Duration maxEventGap = std::chrono::milliseconds(250);
-    if (!isOnPath(runner) || isFinished() || !m_exchange || now - m_stallDetector->pauseStart() < maxEventGap)
+    if (!isOnPath(runner) || isFinished() || !m_exchange || isFlowing(now))
+        return;
+    // Each stream that waits for the runner reports it, and one report is enough.
+    if (m_repair.deadStages().contains(runner))
         return;
     recordSuspicion(runner);
     m_repair.add(runner, true);
--- a/packages/gateway/fuchsialb/src/Gateway/StreamCall.h
+++ b/packages/gateway/fuchsialb/src/Gateway/StreamCall.h
@@ -50,6 +50,8 @@
     /// Adds what this host believes of a runner.
     void addRunnerFields(LogLine& line, const EndpointId& id) const;
     bool isOnPath(const EndpointId& runner) const;
+    /// \return Whether the current run sent an event lately, so that it doesn't wait for any runner.
+    bool isFlowing(TimePoint now) const;
     /// \return Whether a stage after the first is draining, dead or unregistered, which makes the first runner fail as
     /// well.
     bool isPathBroken(TimePoint now) const;
--- a/packages/gateway/fuchsialb/src/Gateway/UnaryCall.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/UnaryCall.cpp
@@ -143,7 +143,8 @@
 {
     const TimePoint now = m_context.now();
     const std::string_view cause = reasonName(reasonOf(failure.status));
-    m_context.runners.recordFailure(m_endpoint, now, failure.notSent ? unreachableSuspension : failureSuspension);
+    const bool isUnreachable = failure.notSent && !m_context.hostPause.overdue(now);
+    m_context.runners.recordFailure(m_endpoint, now, isUnreachable ? unreachableSuspension : failureSuspension);
     releaseEndpoint();
     m_excluded.insert(m_endpoint);
     if (failure.notSent) {
