--- a/packages/core/fuchsialb/src/Fleet/HostPauseDetector.h
+++ b/packages/core/fuchsialb/src/Fleet/HostPauseDetector.h
@@ -8,7 +8,7 @@
 
 /// \brief Notices that this host was held up: its process was stopped or got no processor time.
 ///
-/// What it hasn't heard of others then says nothing of them, since their messages may wait unread.
+/// The silence of others in that time proves nothing, since their messages may wait unread.
 class HostPauseDetector {
 public:
     /// \param maxGap Longest time between two ticks of a host that isn't held up.
--- a/packages/core/fuchsialb/src/Fleet/SharedRetryBudget.h
+++ b/packages/core/fuchsialb/src/Fleet/SharedRetryBudget.h
@@ -29,7 +29,7 @@
     /// \param hosts Number of hosts that share the allowance, at least 1.
     /// \return Whether the retry is allowed.
     bool tryTake(TimePoint now, std::size_t hosts);
-    /// Returns a retry that was taken and has not been sent.
+    /// Puts back the retry taken last, which was not sent.
     void giveBack();
 
 private:
--- a/packages/gateway/fuchsialb/src/Gateway/StreamCall.h
+++ b/packages/gateway/fuchsialb/src/Gateway/StreamCall.h
@@ -76,7 +76,9 @@
     /// \param askedAt When the first runner was asked.
     void checkSilentRunner(TimePoint askedAt);
     void recordUnexplainedStall(const EndpointId& first, const EndpointId& control);
+    /// Reserves capacity on the path, unless that is done.
     void reservePath();
+    /// Releases the capacity of a run that has stopped; its next event reserves it again.
     void cancelReservation();
     /// Forgets the exchange and releases the capacity reserved on the path.
     void releasePath();
@@ -117,7 +119,7 @@
     std::optional<HttpResponse> m_head;
     /// Runners that refused the request or can't serve it.
     std::set<EndpointId> m_excluded;
-    /// Runners that seem to be dead or cut off; a sound one may fall silent for a second and go on.
+    /// Runners that seem to be dead or cut off; a healthy one may fall silent for a second and go on.
     std::set<EndpointId> m_suspected;
     TimePoint m_suspectedAt {};
     /// First runner of each path used.
