--- a/packages/gateway/fuchsialb/src/Gateway/StreamCall.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/StreamCall.cpp
@@ -49,6 +49,14 @@
         return names;
     }
 
+    std::string joined(const std::vector<PromptPartId>& parts)
+    {
+        std::string text;
+        for (const PromptPartId& part : parts)
+            text += (text.empty() ? "" : ",") + part.value();
+        return text;
+    }
+
 } // namespace
 
 StreamCall::StreamCall(GatewayContext& context, MatchedRequest matched, std::shared_ptr<HttpReply> reply,
@@ -201,6 +209,7 @@
     }
     reservePath();
     ++m_runs;
+    m_runEvents = 0;
     m_splitter = {};
     m_stallDetector.emplace(StallDetector::Limits {}, now);
     m_stallControls.clear();
@@ -278,6 +287,7 @@
             continue;
         if (event->id)
             m_lastEventId = event->id;
+        ++m_runEvents;
         text += event->text;
     }
     if (text.empty())
@@ -418,6 +428,8 @@
 {
     LogLine line = logLine("runner-blamed");
     line.add("runner", runner.value()).add("cause", cause);
+    line.add("run", static_cast<std::int64_t>(m_runs)).add("run_events", static_cast<std::int64_t>(m_runEvents));
+    line.add("parts", joined(m_matched.request.sharedParts));
     m_context.log.log(line);
     m_context.metrics.count("runners_blamed", "cause", cause);
 }
--- a/packages/gateway/fuchsialb/src/Gateway/StreamCall.h
+++ b/packages/gateway/fuchsialb/src/Gateway/StreamCall.h
@@ -112,6 +112,8 @@
     std::optional<HttpExchangeId> m_exchange;
     /// Incremented for each run, so that late callbacks of an earlier one are ignored.
     std::uint32_t m_runs = 0;
+    /// Events of the current run.
+    std::uint64_t m_runEvents = 0;
     bool m_mayHaveRun = false;
     bool m_responseStarted = false;
     std::optional<std::uint64_t> m_lastEventId;
--- a/packages/gateway/fuchsialb/src/Gateway/Translator.h
+++ b/packages/gateway/fuchsialb/src/Gateway/Translator.h
@@ -35,6 +35,8 @@
     std::int64_t maxOutputTokens = 0;
     /// The caller's estimate; correct at the median, but single values are often far off.
     std::optional<std::int64_t> expectedOutputTokens;
+    /// Parts of the prompt that other requests may share, in their order; the request's own last part is left out.
+    std::vector<PromptPartId> sharedParts;
 };
 
 /// \brief Destination and parameters of a request forwarded to a runner.
