Contain requests with a part of a prompt under which runners end

Callers saw nearly all requests for a model refused or failed for half a minute: requests with one part in their prompts ended 28 runners, each with all of its streams. Nothing connected the crashes: hosts blamed the runner, and each host sent each such request, up to several times.

A run that breaks off before a few events is now examined (CrashWatch): if its runner has ended, by a refused connection or a later start at its address, the shared parts of the prompt are evidence (CrashEvidence). Hosts exchange the reports by beats, at once after a change. The part that explains two crashes is quarantined, requests with it are refused as not run, and runs under way that aren't answered are ended. An answer to a later request clears a part, so parts that sound requests share are not quarantined. One host tries a part again, ever more rarely. A request that may have ended its runner waits until other requests with its parts are answered, and ends two runners at most (PromptProbation).

--- a/packages/core/fuchsialb/Fleet.h
+++ b/packages/core/fuchsialb/Fleet.h
@@ -5,8 +5,11 @@
 /// selection, admission and stall detection. Performs no input or output.
 
 #include "src/Fleet/AdmissionQueue.h"
+#include "src/Fleet/AnswerCounter.h"
 #include "src/Fleet/BeatExchange.h"
 #include "src/Fleet/ConfigurationInForce.h"
+#include "src/Fleet/CrashEvidence.h"
+#include "src/Fleet/CrashReport.h"
 #include "src/Fleet/DirectoryView.h"
 #include "src/Fleet/EngineProfile.h"
 #include "src/Fleet/HostBeat.h"
--- a/packages/core/fuchsialb/src/Fleet/BeatExchange.cpp
+++ b/packages/core/fuchsialb/src/Fleet/BeatExchange.cpp
@@ -83,6 +83,9 @@
     if (distance(to) != Distance::OtherDataCentre)
         beat.leavingRunners = m_state.runners.leavingAheadOfRegistry();
     addDirectories(beat, peer, distance(to), now, bootNow);
+    beat.crashDigest = peer.crashDigestSent = m_state.crashes.digest();
+    if (peer.crashDigest != beat.crashDigest)
+        beat.crashes = m_state.crashes.reports(now);
     return beat;
 }
 
@@ -163,7 +166,8 @@
     std::vector<Outgoing> beats;
     for (const HostId& id : recipients(now)) {
         Peer& peer = m_peers[id];
-        if (now < peer.nextBeatAt)
+        const bool hasNewCrash = peer.crashDigestSent != m_state.crashes.digest();
+        if (now < peer.nextBeatAt && !hasNewCrash)
             continue;
         peer.nextBeatAt = now + (m_state.hosts.isLocal(id) ? localBeatPeriod : remoteBeatPeriod);
         const std::string& address = m_state.hosts.hosts().at(id).registration.address;
@@ -310,6 +314,8 @@
     peer.era = beat.runners.era;
     peer.runnersVersion = beat.runners.version;
     peer.hostsVersion = beat.hosts.version;
+    peer.crashDigest = beat.crashDigest;
+    m_state.crashes.merge(beat.crashes, now);
     m_state.hosts.recordBeat({ from, beat.dataCentre, beat.address }, beat.leaving, beat.cellLeader, now);
     receiveLoads(from, beat, now);
     if (m_state.hosts.isLocal(from)) {
--- a/packages/core/fuchsialb/src/Fleet/BeatExchange.h
+++ b/packages/core/fuchsialb/src/Fleet/BeatExchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "ConfigurationInForce.h"
+#include "CrashEvidence.h"
 #include "DirectoryView.h"
 #include "HostBeat.h"
 #include "HostCells.h"
@@ -24,6 +25,9 @@
 /// leaving (so that other hosts needn't detect them by failed requests), and the proof that a configuration is the
 /// newest (so that a host cut off from the store can still trust its configuration).
 ///
+/// Beats to all hosts carry the reports of crashes, to a host whose reports differ; a host that has learnt of a crash
+/// sends its beats at once.
+///
 /// Beats inside a data centre also carry changes of the registry and of the list of hosts, from the hosts that watch
 /// the store to the leaders of cells and from there to their cells.
 ///
@@ -42,6 +46,7 @@
         ConfigurationInForce& configuration;
         DirectoryView& runnersView;
         DirectoryView& hostsView;
+        CrashEvidence& crashes;
     };
 
     /// Called with what another host has passed on.
@@ -101,6 +106,9 @@
         /// The last beat of the peer has asked for a copy of a newer configuration.
         bool wantsConfiguration = false;
         TimePoint configurationSentAt {};
+        /// Digest of the crash reports that the peer has, and of those of this host in the last beat to it.
+        std::uint64_t crashDigest = 0;
+        std::uint64_t crashDigestSent = 0;
     };
 
     enum class Distance : unsigned char {
--- a/packages/core/fuchsialb/src/Fleet/HostBeat.h
+++ b/packages/core/fuchsialb/src/Fleet/HostBeat.h
@@ -2,6 +2,7 @@
 
 #include "../Base/Ids.h"
 #include "../Base/Units.h"
+#include "CrashReport.h"
 #include "DirectoryView.h"
 #include "LoadLedger.h"
 #include "RunnerDirectory.h"
@@ -62,6 +63,10 @@
     std::vector<RunnerSuspicion> suspicions;
     /// Runners that told the sender, or a host that it heard from, that they leave.
     std::vector<RunnerLeaving> leavingRunners;
+    /// Digest of the sender's crash reports.
+    std::uint64_t crashDigest = 0;
+    /// All of the sender's crash reports; empty unless the receiver's last beat told another digest.
+    std::vector<CrashReport> crashes;
     /// The sender's view of the registry of runners and of the list of hosts.
     DirectoryUpdate runners;
     DirectoryUpdate hosts;
--- a/packages/core/fuchsialb/src/Fleet/HostDirectory.cpp
+++ b/packages/core/fuchsialb/src/Fleet/HostDirectory.cpp
@@ -219,10 +219,14 @@
         return false;
     if (dataCentre == m_dataCentre)
         return true;
-    if (hasHosts(dataCentre))
-        return false;
-    return std::none_of(m_remoteBeatAt.begin(), m_remoteBeatAt.end(),
-        [&](const auto& item) { return item.first < m_dataCentre && remoteAlive(item.first, now); });
+    return !hasHosts(dataCentre) && leadsFleet(now);
+}
+
+bool HostDirectory::leadsFleet(TimePoint now) const
+{
+    return isLeader(now) && std::none_of(m_remoteBeatAt.begin(), m_remoteBeatAt.end(), [&](const auto& item) {
+        return item.first < m_dataCentre && remoteAlive(item.first, now);
+    });
 }
 
 } // namespace fuchsialb
--- a/packages/core/fuchsialb/src/Fleet/HostDirectory.h
+++ b/packages/core/fuchsialb/src/Fleet/HostDirectory.h
@@ -91,6 +91,9 @@
     /// \brief Whether this host watches the store for its data centre: the leader and, so that changes are known
     ///     without delay while that one is cut off or has just ended, the next one.
     bool readsStore(TimePoint now) const;
+    /// \return Whether this host is the leader of the live data centre with the lowest id. Hosts that don't hear each
+    ///     other may both be.
+    bool leadsFleet(TimePoint now) const;
     /// \return The hosts of another data centre to send beats to: its leader, which is the host whose beat arrived
     ///     last, or all its hosts while no beats arrive.
     std::vector<HostId> beatRecipients(const DataCentreId& dataCentre, TimePoint now) const;
--- a/packages/core/tests/support/FleetDataCentre.h
+++ b/packages/core/tests/support/FleetDataCentre.h
@@ -22,6 +22,7 @@
     ConfigurationInForce configuration { 5s };
     DirectoryView runnersView;
     DirectoryView hostsView;
+    CrashEvidence crashes;
     /// Keys of the registry that other hosts have passed on, with their last values.
     std::map<std::string, std::string> registry;
     BeatExchange beats;
@@ -31,7 +32,7 @@
         , dataCentre(dataCentreName)
         , directory(id, dataCentre)
         , beats({ id, dataCentre, std::string(name) + ":1", directory, ledger, runners, configuration, runnersView,
-                    hostsView },
+                    hostsView, crashes },
               { [this](const HostId&, const DirectoryUpdate& update) {
                    for (const KeyItem& change : update.changes)
                        registry[change.key] = change.value;
--- a/packages/gateway/fuchsialb/src/Gateway/Gateway.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/Gateway.cpp
@@ -67,7 +67,7 @@
             const auto seed = (static_cast<std::uint64_t>(std::random_device()()) << 32) | std::random_device()();
             m_context.emplace(GatewayContext { m_settings, m_translator, *m_loop, m_clock, *m_http, *m_store, m_log,
                 m_metrics, Random(seed), ConfigurationInForce(m_settings.keyTrust), {}, {},
-                HostDirectory(m_settings.host, m_settings.dataCentre), {},
+                HostDirectory(m_settings.host, m_settings.dataCentre), {}, {},
                 SharedRetryBudget({ m_settings.retryRatio, m_settings.retryWindow, m_settings.retryAllowance }), {},
                 {} });
             m_requests.emplace(*m_context);
--- a/packages/gateway/fuchsialb/src/Gateway/GatewayContext.h
+++ b/packages/gateway/fuchsialb/src/Gateway/GatewayContext.h
@@ -28,6 +28,7 @@
     RunnerDirectory runners;
     HostDirectory hosts;
     LoadLedger ledger;
+    CrashEvidence crashEvidence;
     SharedRetryBudget retryBudget;
     LinkBudget linkBudget;
     AdmissionQueue admissionQueue;
--- a/packages/gateway/fuchsialb/src/Gateway/PeerExchange.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/PeerExchange.cpp
@@ -9,7 +9,8 @@
 PeerExchange::PeerExchange(GatewayContext& context, BeatExchange::Hooks hooks)
     : m_context(context)
     , m_beats({ context.settings.host, context.settings.dataCentre, context.settings.peerAddress.text(), context.hosts,
-                  context.ledger, context.runners, context.configuration, context.runnersView, context.hostsView },
+                  context.ledger, context.runners, context.configuration, context.runnersView, context.hostsView,
+                  context.crashEvidence },
           std::move(hooks))
 {
 }
--- a/packages/gateway/fuchsialb/src/Gateway/RequestDispatcher.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/RequestDispatcher.cpp
@@ -19,6 +19,7 @@
 
 RequestDispatcher::RequestDispatcher(GatewayContext& context)
     : m_context(context)
+    , m_crashWatch(context)
 {
 }
 
@@ -70,6 +71,9 @@
         refuse(*reply, GatewayError::NotRun, id, "no-service", otherHostRetryAfter);
         return;
     }
+    bool isTrial = false;
+    if (refuseQuarantined(matched, *reply, isTrial))
+        return;
     Duration timeLimit = matched.route->timeout;
     if (matched.request.timeout) {
         timeLimit = std::min(timeLimit, *matched.request.timeout);
@@ -79,14 +83,35 @@
     m_context.retryBudget.recordRequest(matched.receivedAt);
     std::shared_ptr<Call> call;
     if (matched.service->engine || matched.route->kind == RouteKind::Stream)
-        call = std::make_shared<StreamCall>(m_context, std::move(matched), reply, m_meanDuration,
-            [this](const EndpointId& runner) { runnerLost(runner); });
+        call = std::make_shared<StreamCall>(m_context, std::move(matched), reply,
+            StreamCall::Owner {
+                m_meanDuration, m_crashWatch, [this](const EndpointId& runner) { runnerLost(runner); } },
+            isTrial);
     else
         call = std::make_shared<UnaryCall>(m_context, std::move(matched), reply);
     add(call);
     call->start();
 }
 
+bool RequestDispatcher::refuseQuarantined(const MatchedRequest& matched, HttpReply& reply, bool& isTrial)
+{
+    CrashEvidence& evidence = m_context.crashEvidence;
+    const TargetId& service = matched.service->name;
+    const CrashEvidence::Quarantine* quarantine = evidence.quarantine(service, matched.request.sharedParts);
+    if (!quarantine)
+        return false;
+    const TimePoint now = matched.receivedAt;
+    const PromptPartId part = quarantine->part;
+    const Duration untilTrial = std::max<Duration>(quarantine->trialAt - now, otherHostRetryAfter);
+    isTrial = m_context.hosts.leadsFleet(now) && evidence.beginTrial(service, part, now);
+    if (!isTrial) {
+        refuse(reply, GatewayError::NotRun, matched.request.id, "prompt-quarantined", untilTrial);
+        return true;
+    }
+    m_context.log.log(LogLine("quarantine-trial").add("request", matched.request.id).add("part", part.value()));
+    return false;
+}
+
 std::optional<GatewayError> RequestDispatcher::authenticate(MatchedRequest& matched) const
 {
     matched.urgency = matched.route->urgency;
@@ -158,6 +183,7 @@
     const TimePoint now = m_context.now();
     if (const auto gap = m_context.hostPause.tick(now))
         reportHostPause(*gap, now);
+    m_crashWatch.tick(now);
     for (const auto& call : openCalls())
         call->tick(now);
     admitQueued();
--- a/packages/gateway/fuchsialb/src/Gateway/RequestDispatcher.h
+++ b/packages/gateway/fuchsialb/src/Gateway/RequestDispatcher.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Call.h"
+#include "CrashWatch.h"
 
 #include <map>
 
@@ -32,10 +33,14 @@
     /// \return A copy of the open calls, since calls may finish during iteration.
     std::vector<std::shared_ptr<Call>> openCalls() const;
     void admitQueued();
+    /// \brief Refuses a request with a quarantined part in its prompt, unless it is the trial of that part.
+    /// \return Whether it was refused.
+    bool refuseQuarantined(const MatchedRequest& matched, HttpReply& reply, bool& isTrial);
     /// Tells the open calls that this host was held up.
     void reportHostPause(Duration gap, TimePoint now);
 
     GatewayContext& m_context;
+    CrashWatch m_crashWatch;
     std::map<AdmissionQueue::Key, std::shared_ptr<Call>> m_openCalls;
     AdmissionQueue::Key m_lastKey = 0;
     /// Exponential moving average of the duration of served streams.
--- a/packages/gateway/fuchsialb/src/Gateway/StreamCall.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/StreamCall.cpp
@@ -32,6 +32,9 @@
     constexpr Duration replacementInterval = std::chrono::milliseconds(200);
     // An event that arrives within this time of a suspicion may have passed the suspected stage before it died.
     constexpr Duration maxEventTransit = std::chrono::milliseconds(300);
+    // Other requests with the same parts are answered within this time, if they are sound. Callers disconnect after two
+    // seconds without an event.
+    constexpr Duration maxSuspicionWait = std::chrono::milliseconds(1000);
     constexpr std::uint32_t statusMisdirectedRequest = 421;
 
     /// \return Comma-separated data centres of a path, in order.
@@ -59,11 +62,11 @@
 
 } // namespace
 
-StreamCall::StreamCall(GatewayContext& context, MatchedRequest matched, std::shared_ptr<HttpReply> reply,
-    const Duration& meanDuration, OnRunnerLost onRunnerLost)
+StreamCall::StreamCall(
+    GatewayContext& context, MatchedRequest matched, std::shared_ptr<HttpReply> reply, Owner owner, bool isTrial)
     : Call(context, std::move(matched), std::move(reply))
-    , m_meanDuration(meanDuration)
-    , m_onRunnerLost(std::move(onRunnerLost))
+    , m_owner(std::move(owner))
+    , m_probation(context, m_owner.crashWatch, m_matched.service->name, m_matched.request.sharedParts, isTrial)
     , m_lastEventId(m_matched.request.lastEventId)
     , m_history(m_matched.route->maxAttempts)
 {
@@ -195,7 +198,7 @@
 {
     const TimePoint now = m_context.now();
     const Duration left = timeLeft(now);
-    const Duration usual = AdmissionPolicy::retryAfter(m_meanDuration, left, m_context.random.unit());
+    const Duration usual = AdmissionPolicy::retryAfter(m_owner.meanDuration, left, m_context.random.unit());
     respond(GatewayError::NotRun, cause, canBeServed(now) ? usual : retryAfterRest(usual));
 }
 
@@ -206,6 +209,7 @@
     if (const RunnerDirectory::Runner* first = m_context.runners.find(m_path.front().runner)) {
         m_history.recordRun(first->entry);
         m_firstStartedAt = first->entry.startedAt;
+        m_probation.startRun(first->entry);
     }
     reservePath();
     ++m_runs;
@@ -288,6 +292,7 @@
         if (event->id)
             m_lastEventId = event->id;
         ++m_runEvents;
+        m_probation.recordEvent(now);
         text += event->text;
     }
     if (text.empty())
@@ -308,13 +313,17 @@
     const RunnerResponse runnerResponse = m_context.translator.runnerResponse(response);
     recordRunnerNotices(m_context, { m_path.front().runner, m_firstStartedAt }, runnerResponse, response.status);
     const bool succeeded = response.status >= 200 && response.status < 300;
-    if (succeeded && m_head) {
-        if (m_splitter.hasPartialEvent()) {
+    if (succeeded && isAuthentic(runnerResponse)) {
+        // Without a length or chunks, the end of the connection is the end of the response, also of one that broke off.
+        const bool hasNoEvent = m_runEvents == 0 && !m_lastEventId;
+        if (m_splitter.hasPartialEvent() || hasNoEvent) {
+            m_probation.recordBroken();
             recordFailure(m_path.front().runner, "event-cut", brokenStreamSuspension);
             releasePath();
             failOver("event-cut", true);
             return;
         }
+        m_probation.recordComplete(m_context.now());
         for (const PathStage& stage : m_path)
             m_context.runners.recordSuccess(stage.runner, m_context.now());
         m_servedDuration = m_context.now() - m_startedAt;
@@ -374,6 +383,8 @@
     const EndpointId first = m_path.front().runner;
     const bool broken = isPathBroken(m_context.now());
     releasePath();
+    if (!failure.notSent)
+        m_probation.recordBroken();
     if (failure.notSent && !m_context.hostPause.overdue(m_context.now()))
         recordDead(first, "unreachable");
     else if (!broken)
@@ -421,7 +432,7 @@
     m_context.runners.markDead(runner, m_context.now(), deadSuspension);
     recordSuspicion(runner);
     logFailure(runner, cause);
-    m_onRunnerLost(runner);
+    m_owner.onRunnerLost(runner);
 }
 
 void StreamCall::logFailure(const EndpointId& runner, std::string_view cause)
@@ -463,11 +474,31 @@
     if (!mayHaveRun)
         m_history.discardLast();
     const TimePoint now = m_context.now();
-    if (!mayRetry() || timeLeft(now) == Duration::zero()
+    if (!mayRetry() || m_probation.hasEndedTooMany() || timeLeft(now) == Duration::zero()
         || !m_context.retryBudget.tryTake(now, m_context.hosts.size())) {
         fail(cause);
         return;
     }
+    if (m_probation.isSuspect())
+        m_suspicionEnd = now + maxSuspicionWait;
+    else
+        startNextRun(now);
+}
+
+void StreamCall::checkSuspicion(TimePoint now)
+{
+    if (!m_suspicionEnd)
+        return;
+    if (!m_probation.isSuspect() && !m_probation.hasEndedTooMany()) {
+        m_suspicionEnd.reset();
+        startNextRun(now);
+    } else if (m_probation.hasEndedTooMany() || now >= *m_suspicionEnd) {
+        fail("runner-ended");
+    }
+}
+
+void StreamCall::startNextRun(TimePoint now)
+{
     if (auto path = findPath(now))
         startRun(*std::move(path));
     else
@@ -522,7 +553,13 @@
             respond(m_runs > 0 ? GatewayError::TimedOut : GatewayError::NotRun, "deadline");
         return;
     }
-    if (!m_exchange || !m_stallDetector)
+    if (m_probation.isQuarantined()) {
+        m_mayHaveRun = m_mayHaveRun || m_exchange;
+        fail("prompt-quarantined");
+        return;
+    }
+    checkSuspicion(now);
+    if (isFinished() || !m_exchange || !m_stallDetector)
         return;
     const bool mayReroute = !m_repair.empty() && !(m_repair.hasDeadStage() && isFlowing(now));
     if (mayReroute && !m_pathChangePending && now >= m_nextRerouteAt && reroute(now))
--- a/packages/gateway/fuchsialb/src/Gateway/StreamCall.h
+++ b/packages/gateway/fuchsialb/src/Gateway/StreamCall.h
@@ -2,6 +2,7 @@
 
 #include "Call.h"
 #include "EventSplitter.h"
+#include "PromptProbation.h"
 
 #include <set>
 
@@ -15,8 +16,16 @@
 public:
     using OnRunnerLost = std::function<void(const EndpointId& runner)>;
 
-    StreamCall(GatewayContext& context, MatchedRequest matched, std::shared_ptr<HttpReply> reply,
-        const Duration& meanDuration, OnRunnerLost onRunnerLost);
+    /// What a stream uses of the owner of all requests.
+    struct Owner {
+        const Duration& meanDuration;
+        CrashWatch& crashWatch;
+        OnRunnerLost onRunnerLost;
+    };
+
+    /// \param isTrial The request is to run although a part of its prompt is quarantined.
+    StreamCall(GatewayContext& context, MatchedRequest matched, std::shared_ptr<HttpReply> reply, Owner owner,
+        bool isTrial = false);
 
     void start() override;
     void tick(TimePoint now) override;
@@ -89,6 +98,11 @@
     /// Records an event of the current run, which shows that all runners of its path are alive.
     void recordProgress(TimePoint now);
     void recordSuspicion(const EndpointId& runner);
+    /// \brief Ends the wait of a request that may be the reason for the end of a runner, when that is known or the wait
+    /// has lasted too long.
+    void checkSuspicion(TimePoint now);
+    /// Starts the next run or waits for a path.
+    void startNextRun(TimePoint now);
     /// Retries the request, whose run has ended, on another path or finishes it.
     void failOver(std::string_view cause, bool mayHaveRun);
     /// Finishes the request: aborts a response that has started, otherwise answers whether the request may have run.
@@ -103,8 +117,10 @@
     /// \return Whether the route allows another run of a request that has run.
     bool mayRunAgain() const;
 
-    const Duration& m_meanDuration;
-    OnRunnerLost m_onRunnerLost;
+    Owner m_owner;
+    PromptProbation m_probation;
+    /// Set while the next run waits until the request is known not to be the reason for the end of a runner.
+    std::optional<TimePoint> m_suspicionEnd;
     Path m_path;
     bool m_isPathReserved = false;
     /// Start of the process of the first runner on the path, as known when the request was sent there.
--- a/packages/net/fuchsialb/src/Net/CurlExchange.cpp
+++ b/packages/net/fuchsialb/src/Net/CurlExchange.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <cerrno>
 #include <utility>
 
 namespace fuchsialb::internal {
@@ -226,6 +227,12 @@
 
 bool CurlExchange::wasConnected() const { return m_sends > 0; }
 
+bool CurlExchange::wasRefused() const
+{
+    long code = 0;
+    return curl_easy_getinfo(m_easy, CURLINFO_OS_ERRNO, &code) == CURLE_OK && code == ECONNREFUSED;
+}
+
 absl::Status CurlExchange::statusOf(CURLcode code) const
 {
     const char* detail = curl_easy_strerror(code);
@@ -252,17 +259,17 @@
 void CurlExchange::finish(CURLcode code)
 {
     if (code != CURLE_OK)
-        report(statusOf(code));
+        report(statusOf(code), code == CURLE_COULDNT_CONNECT && wasRefused());
     else if (m_handlers.onResponse)
         m_handlers.onResponse(std::move(m_response));
 }
 
 void CurlExchange::fail(Reason reason, std::string_view detail) { report(error(reason, detail)); }
 
-void CurlExchange::report(absl::Status status)
+void CurlExchange::report(absl::Status status, bool refused)
 {
     if (m_handlers.onFailure)
-        m_handlers.onFailure({ std::move(status), wroteNothing() });
+        m_handlers.onFailure({ std::move(status), wroteNothing(), refused });
 }
 
 } // namespace fuchsialb::internal
--- a/packages/net/fuchsialb/src/Net/CurlExchange.h
+++ b/packages/net/fuchsialb/src/Net/CurlExchange.h
@@ -39,7 +39,7 @@
     static std::size_t receiveBody(char* data, std::size_t size, std::size_t count, void* self);
     static int beforeRequest(void* self, char* remoteAddress, char* localAddress, int remotePort, int localPort);
 
-    void report(absl::Status status);
+    void report(absl::Status status, bool refused = false);
     void setMethod();
     void setHeaders();
     void takeHeaderLine(std::string_view line);
@@ -47,6 +47,8 @@
     bool mayBeSentAgain() const;
     bool wroteNothing() const;
     bool wasConnected() const;
+    /// \return Whether the peer's host refused the connection.
+    bool wasRefused() const;
     absl::Status statusOf(CURLcode code) const;
 
     HttpExchangeId m_id;
--- a/packages/net/fuchsialb/src/Net/HttpClient.h
+++ b/packages/net/fuchsialb/src/Net/HttpClient.h
@@ -51,6 +51,8 @@
     absl::Status status;
     /// No byte of the request was written to a socket.
     bool notSent = false;
+    /// The peer's host answered that nothing accepts connections at the address.
+    bool refused = false;
 };
 
 using HttpExchangeId = internal::StrongId<struct HttpExchangeTag, std::uint64_t>;
--- a/packages/wire/fuchsialb/src/Wire/PeerMessageDecode.cpp
+++ b/packages/wire/fuchsialb/src/Wire/PeerMessageDecode.cpp
@@ -314,6 +314,20 @@
         return to;
     }
 
+    CrashReport decode(Decoder& in, const wire::CrashReport& from)
+    {
+        CrashReport to;
+        to.process = { in.id<EndpointId>(from.runner(), "crash.runner"), from.started_at() };
+        to.service = in.id<TargetId>(from.service(), "crash.service");
+        to.age = in.duration(from.age_us(), "crash.age_us");
+        in.require(from.parts_size() <= internal::maxPromptParts, "too many parts of a prompt");
+        if (!in.status().ok())
+            return to;
+        for (const wire::SuspectPart& part : from.parts())
+            to.parts.push_back({ in.id<PromptPartId>(part.part(), "crash.part"), part.cleared() });
+        return to;
+    }
+
     HostBeat decode(Decoder& in, const wire::HostBeat& from)
     {
         HostBeat to;
@@ -335,6 +349,7 @@
         in.require(from.remote_size() <= internal::maxRemoteLoads, "too many data centres");
         in.require(from.suspicions_size() <= internal::maxRunnerLoads, "too many suspicions");
         in.require(from.leaving_runners_size() <= internal::maxRunnerLoads, "too many leaving runners");
+        in.require(from.crashes_size() <= internal::maxCrashReports, "too many crash reports");
         if (!in.status().ok())
             return to;
         for (const wire::DataCentreLoad& remote : from.remote())
@@ -346,6 +361,9 @@
         for (const wire::RunnerLeaving& leaving : from.leaving_runners())
             to.leavingRunners.push_back(
                 { in.id<EndpointId>(leaving.runner(), "leaving.runner"), leaving.started_at() });
+        to.crashDigest = from.crash_digest();
+        for (const wire::CrashReport& crash : from.crashes())
+            to.crashes.push_back(decode(in, crash));
         to.runners = decode(in, from.runners());
         to.hosts = decode(in, from.hosts());
         return to;
--- a/packages/wire/fuchsialb/src/Wire/PeerMessageEncode.cpp
+++ b/packages/wire/fuchsialb/src/Wire/PeerMessageEncode.cpp
@@ -126,7 +126,6 @@
         to.set_submission(from.submission);
     }
 
-    /// \brief Fills the alternative of `Body` that belongs to a message.
     void encodeDirectory(const DirectoryUpdate& from, wire::DirectoryUpdate& to)
     {
         to.set_era(from.era.value());
@@ -143,6 +142,20 @@
         }
     }
 
+    void encodeCrash(const CrashReport& from, wire::CrashReport& to)
+    {
+        to.set_runner(from.process.runner.value());
+        to.set_started_at(from.process.startedAt);
+        to.set_service(from.service.value());
+        to.set_age_us(micros(from.age));
+        for (const SuspectPart& part : from.parts) {
+            wire::SuspectPart& added = *to.add_parts();
+            added.set_part(part.part.value());
+            added.set_cleared(part.cleared);
+        }
+    }
+
+    /// \brief Fills the alternative of `Body` that belongs to a message.
     struct BodyEncoder {
         wire::Body& body;
 
@@ -247,6 +260,9 @@
                 added.set_runner(leaving.runner.value());
                 added.set_started_at(leaving.startedAt);
             }
+            to.set_crash_digest(from.crashDigest);
+            for (const CrashReport& crash : from.crashes)
+                encodeCrash(crash, *to.add_crashes());
             encodeDirectory(from.runners, *to.mutable_runners());
             encodeDirectory(from.hosts, *to.mutable_hosts());
         }
--- a/packages/wire/tests/support/PeerMessages.cpp
+++ b/packages/wire/tests/support/PeerMessages.cpp
@@ -82,6 +82,14 @@
             drawn.suspicions.push_back({ EndpointId(id(below)), duration(below) });
         for (std::uint64_t i = below(3); i > 0; --i)
             drawn.leavingRunners.push_back({ EndpointId(id(below)), static_cast<std::int64_t>(below(anyNumber)) });
+        drawn.crashDigest = below(anyNumber);
+        for (std::uint64_t i = below(3); i > 0; --i) {
+            CrashReport report { { EndpointId(id(below)), static_cast<std::int64_t>(below(anyNumber)) },
+                TargetId(id(below)), {}, duration(below) };
+            for (std::uint64_t j = below(4); j > 0; --j)
+                report.parts.push_back({ PromptPartId(id(below)), below(2) == 1 });
+            drawn.crashes.push_back(std::move(report));
+        }
         drawn.runners = directory(below);
         drawn.hosts = directory(below);
         return drawn;
