Bound the bodies and the heads of responses that never end

A peer may send bytes without end until the caller closes. One body was limited to 16 MiB, but several at once were not: eight incomplete bodies of 0.9 MB under a limit of 2 MB for all were all kept. Bodies that are being collected now share a limit, which fails those that use most of it; heads, interim ones included, are limited by the client itself rather than by curl's defaults.

--- a/packages/net/fuchsialb/src/Net/AsioCurlClient.cpp
+++ b/packages/net/fuchsialb/src/Net/AsioCurlClient.cpp
@@ -21,6 +21,7 @@
     , m_context(context)
     , m_timer(context)
     , m_multi(curl_multi_init())
+    , m_bodies(std::make_shared<BodyBudget>(BodyBudget { static_cast<std::size_t>(options.maxBodies.value()) }))
 {
 }
 
@@ -54,7 +55,8 @@
     if (m_exchanges.size() >= m_options.capacity)
         return error(Reason::QueueFull, "the HTTP client has no room for another exchange");
     const HttpExchangeId id(++m_lastId);
-    auto exchange = std::make_unique<CurlExchange>(id, std::move(request), std::move(handlers), m_options.maxBody);
+    auto exchange
+        = std::make_unique<CurlExchange>(id, std::move(request), std::move(handlers), m_options.maxBody, m_bodies);
     bool added = exchange->prepare();
     if (added) {
         curl_easy_setopt(exchange->handle(), CURLOPT_OPENSOCKETFUNCTION, &AsioCurlClient::openSocket);
--- a/packages/net/fuchsialb/src/Net/AsioCurlClient.h
+++ b/packages/net/fuchsialb/src/Net/AsioCurlClient.h
@@ -61,6 +61,7 @@
     asio::io_context& m_context;
     asio::steady_timer m_timer;
     CURLM* m_multi;
+    std::shared_ptr<BodyBudget> m_bodies;
     std::map<curl_socket_t, std::shared_ptr<Socket>> m_sockets;
     std::map<HttpExchangeId, std::unique_ptr<CurlExchange>> m_exchanges;
     std::uint64_t m_lastId = 0;
--- a/packages/net/fuchsialb/src/Net/CurlExchange.cpp
+++ b/packages/net/fuchsialb/src/Net/CurlExchange.cpp
@@ -26,6 +26,11 @@
     constexpr int probeIntervalSeconds = 1;
     constexpr int probeCount = 2;
 
+    // Over all heads of a response, interim ones included.
+    constexpr std::size_t maxResponseHeaderBytes = 262'144;
+    // An exchange that has collected less than this share of the budget is not the one that exhausts it.
+    constexpr std::size_t bodyBudgetShare = 16;
+
     int watchForSilentPeer(void*, curl_socket_t socket, curlsocktype)
     {
         const auto set = [socket](int level, int option, int value) {
@@ -69,18 +74,21 @@
 
 } // namespace
 
-CurlExchange::CurlExchange(HttpExchangeId id, HttpRequest request, HttpHandlers handlers, Bytes maxBody)
+CurlExchange::CurlExchange(
+    HttpExchangeId id, HttpRequest request, HttpHandlers handlers, Bytes maxBody, std::shared_ptr<BodyBudget> bodies)
     : m_id(id)
     , m_request(std::move(request))
     , m_handlers(std::move(handlers))
     , m_maxBody(static_cast<std::size_t>(maxBody.value()))
     , m_easy(curl_easy_init())
     , m_lastArrival(SystemClock().now())
+    , m_bodies(std::move(bodies))
 {
 }
 
 CurlExchange::~CurlExchange()
 {
+    m_bodies->used -= m_collected;
     curl_easy_cleanup(m_easy);
     curl_slist_free_all(m_headers);
 }
@@ -159,8 +167,7 @@
 
 std::size_t CurlExchange::receiveHeader(char* data, std::size_t size, std::size_t count, void* self)
 {
-    static_cast<CurlExchange*>(self)->takeHeaderLine({ data, size * count });
-    return size * count;
+    return static_cast<CurlExchange*>(self)->takeHeaderLine({ data, size * count }) ? size * count : 0;
 }
 
 std::size_t CurlExchange::receiveBody(char* data, std::size_t size, std::size_t count, void* self)
@@ -186,19 +193,25 @@
     return m_request.method == "GET" || m_request.method == "HEAD" || wroteNothing();
 }
 
-void CurlExchange::takeHeaderLine(std::string_view line)
+bool CurlExchange::takeHeaderLine(std::string_view line)
 {
     m_lastArrival = SystemClock().now();
+    m_headerBytes += line.size();
+    if (m_headerBytes > maxResponseHeaderBytes) {
+        m_tooLarge = true;
+        return false;
+    }
     if (line.starts_with("HTTP/")) {
         m_response.headers.clear();
         long status = 0;
         curl_easy_getinfo(m_easy, CURLINFO_RESPONSE_CODE, &status);
         m_response.status = static_cast<std::uint32_t>(status);
-        return;
+        return true;
     }
     const std::size_t colon = line.find(':');
     if (colon != std::string_view::npos)
         m_response.headers.emplace_back(lowerCase(line.substr(0, colon)), trimmed(line.substr(colon + 1)));
+    return true;
 }
 
 bool CurlExchange::takeBody(std::string_view piece)
@@ -211,13 +224,22 @@
         m_handlers.onPiece(piece);
         return true;
     }
-    m_bodyTooLarge = m_response.body.size() + piece.size() > m_maxBody;
-    if (m_bodyTooLarge)
+    m_tooLarge = !mayCollect(piece.size());
+    if (m_tooLarge)
         return false;
     m_response.body.append(piece);
+    m_collected += piece.size();
+    m_bodies->used += piece.size();
     return true;
 }
 
+bool CurlExchange::mayCollect(std::size_t size) const
+{
+    if (m_response.body.size() + size > m_maxBody)
+        return false;
+    return m_bodies->used + size <= m_bodies->limit || m_collected < m_bodies->limit / bodyBudgetShare;
+}
+
 bool CurlExchange::wroteNothing() const
 {
     // Counts over all connections that curl used for the request.
@@ -250,8 +272,8 @@
     case CURLE_ABORTED_BY_CALLBACK:
         return error(Reason::ConnectionLost, "a reused connection was closed after the request had been written");
     default:
-        if (m_bodyTooLarge)
-            return error(Reason::BodyTooLarge, "the response body exceeds the client's limit");
+        if (m_tooLarge)
+            return error(Reason::BodyTooLarge, "the response exceeds the client's limit");
         return error(Reason::ConnectionLost, detail);
     }
 }
--- a/packages/net/fuchsialb/src/Net/CurlExchange.h
+++ b/packages/net/fuchsialb/src/Net/CurlExchange.h
@@ -8,12 +8,19 @@
 
 namespace fuchsialb::internal {
 
+/// \brief Bytes of the bodies that the exchanges of a client are collecting.
+struct BodyBudget {
+    std::size_t limit = 0;
+    std::size_t used = 0;
+};
+
 /// \brief One exchange of the HTTP client: its easy handle, what arrived so far and its handlers.
 ///
 /// Used on the client's thread only.
 class CurlExchange {
 public:
-    CurlExchange(HttpExchangeId id, HttpRequest request, HttpHandlers handlers, Bytes maxBody);
+    CurlExchange(HttpExchangeId id, HttpRequest request, HttpHandlers handlers, Bytes maxBody,
+        std::shared_ptr<BodyBudget> bodies);
     ~CurlExchange();
 
     CurlExchange(const CurlExchange&) = delete;
@@ -42,7 +49,9 @@
     void report(absl::Status status, bool refused = false);
     void setMethod();
     void setHeaders();
-    void takeHeaderLine(std::string_view line);
+    /// \return Whether the headers are within the limit.
+    bool takeHeaderLine(std::string_view line);
+    bool mayCollect(std::size_t size) const;
     bool takeBody(std::string_view piece);
     bool mayBeSentAgain() const;
     bool wroteNothing() const;
@@ -60,7 +69,11 @@
     HttpResponse m_response;
     TimePoint m_lastArrival;
     std::uint32_t m_sends = 0;
-    bool m_bodyTooLarge = false;
+    std::shared_ptr<BodyBudget> m_bodies;
+    /// What this exchange uses of the budget.
+    std::size_t m_collected = 0;
+    std::size_t m_headerBytes = 0;
+    bool m_tooLarge = false;
     bool m_headPassed = false;
 };
 
--- a/packages/net/fuchsialb/src/Net/HttpClient.cpp
+++ b/packages/net/fuchsialb/src/Net/HttpClient.cpp
@@ -31,6 +31,8 @@
         explicit CurlClient(Options options)
             : m_options(options)
             , m_multi(curl_multi_init())
+            , m_bodies(std::make_shared<internal::BodyBudget>(
+                  internal::BodyBudget { static_cast<std::size_t>(options.maxBodies.value()) }))
         {
         }
 
@@ -67,7 +69,7 @@
                 ++m_pending;
                 id = HttpExchangeId(++m_lastId);
                 m_commands.emplace_back(std::make_unique<internal::CurlExchange>(
-                    id, std::move(request), std::move(handlers), m_options.maxBody));
+                    id, std::move(request), std::move(handlers), m_options.maxBody, m_bodies));
             }
             curl_multi_wakeup(m_multi);
             return id;
@@ -190,6 +192,7 @@
 
         const Options m_options;
         CURLM* const m_multi;
+        const std::shared_ptr<internal::BodyBudget> m_bodies;
         std::atomic<bool> m_stopping = false;
 
         std::mutex m_mutex;
--- a/packages/net/fuchsialb/src/Net/HttpClient.h
+++ b/packages/net/fuchsialb/src/Net/HttpClient.h
@@ -47,7 +47,8 @@
 
 /// \brief How far an exchange got, for proofs that nothing ran.
 struct HttpFailure {
-    /// `ConnectFailed`, `ConnectionLost`, `ConnectionSilent`, `Timeout`, `Cancelled` or `BodyTooLarge`.
+    /// `ConnectFailed`, `ConnectionLost`, `ConnectionSilent`, `Timeout`, `Cancelled` or `BodyTooLarge`, which also
+    /// stands for headers without end.
     absl::Status status;
     /// No byte of the request was written to a socket.
     bool notSent = false;
@@ -76,6 +77,9 @@
         /// Most exchanges that wait or run at once.
         std::size_t capacity = 16384;
         Bytes maxBody { 16'777'216 };
+        /// Most bytes of the bodies that are being collected, over all exchanges. Beyond it, an exchange that has
+        /// collected a sixteenth of it or more fails when more arrives.
+        Bytes maxBodies { 50'331'648 };
     };
 
     static absl::StatusOr<std::unique_ptr<HttpClient>> create(Options options);
--- a/packages/net/tests/support/RawSocket.cpp
+++ b/packages/net/tests/support/RawSocket.cpp
@@ -116,6 +116,13 @@
     return false;
 }
 
+void RawSocket::reset()
+{
+    const linger atOnce { 1, 0 };
+    ::setsockopt(m_descriptor, SOL_SOCKET, SO_LINGER, &atOnce, sizeof atOnce);
+    close();
+}
+
 void RawSocket::close()
 {
     if (m_descriptor >= 0)
--- a/packages/net/tests/support/RawSocket.h
+++ b/packages/net/tests/support/RawSocket.h
@@ -28,6 +28,8 @@
     /// \return Whether the peer closes the connection in time; what arrives before is dropped.
     bool seesClose();
     void close();
+    /// Closes the connection by a reset.
+    void reset();
 
 private:
     explicit RawSocket(int descriptor);
