Give up a stream whose bytes never form an event

Beyond an event of 1 MiB the gateway ignored what followed, but went on to read and keep it: an endless event filled the memory, 271 MB in the 1.3 s until the stall was noticed. The run is cancelled now, and resumed elsewhere where the route allows it. A stream without any event, whose connection ends in order, was taken for complete and isn't any more. platform.ResponseEndTest failed at 271 MB of 64 MB allowed before, and passes; its checks of responses without a length, cut inside an event, empty or reset passed on.

--- a/packages/gateway/fuchsialb/src/Gateway/StreamCall.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/StreamCall.cpp
@@ -21,7 +21,7 @@
     constexpr Duration maxResumeWait = std::chrono::milliseconds(1500);
     // A resumed stream was admitted before, so it may fill slightly more of the KV cache than the usual limit.
     constexpr double resumeCacheLimit = 1.05;
-    // Maximum size of an event; data without a complete event within this size is invalid and not parsed.
+    // Maximum size of an event; more bytes without the end of an event are not a stream of events.
     constexpr std::size_t maxEventBytes = 1'048'576;
     // A draining runner keeps working for about two seconds. Most streams end within this delay; the others are
     // rerouted in the remaining time, when other runners have loaded its layers.
@@ -215,6 +215,7 @@
     ++m_runs;
     m_runEvents = 0;
     m_splitter = {};
+    m_isOversized = false;
     m_stallDetector.emplace(StallDetector::Limits {}, now);
     m_stallControls.clear();
     if (m_runs == 1)
@@ -281,9 +282,9 @@
 
 void StreamCall::handlePiece(std::string_view piece)
 {
-    m_splitter.add(piece);
-    if (m_splitter.bufferedSize() > maxEventBytes)
+    if (m_isOversized)
         return;
+    m_splitter.add(piece);
     const TimePoint now = m_context.now();
     std::string text;
     while (auto event = m_splitter.next()) {
@@ -295,8 +296,16 @@
         m_probation.recordEvent(now);
         text += event->text;
     }
-    if (text.empty())
-        return;
+    if (!text.empty())
+        forwardEvents(std::move(text), now);
+    m_isOversized = m_splitter.bufferedSize() > maxEventBytes;
+    // The exchange then fails, and with it the run.
+    if (m_isOversized)
+        m_context.http.cancel(*m_exchange);
+}
+
+void StreamCall::forwardEvents(std::string text, TimePoint now)
+{
     recordProgress(now);
     if (!m_responseStarted) {
         m_responseStarted = true;
@@ -382,14 +391,15 @@
 {
     const EndpointId first = m_path.front().runner;
     const bool broken = isPathBroken(m_context.now());
+    const std::string_view cause = m_isOversized ? "event-too-large" : reasonName(reasonOf(failure.status));
     releasePath();
     if (!failure.notSent)
         m_probation.recordBroken();
     if (failure.notSent && !m_context.hostPause.overdue(m_context.now()))
         recordDead(first, "unreachable");
     else if (!broken)
-        recordFailure(first, reasonName(reasonOf(failure.status)), brokenStreamSuspension);
-    failOver(reasonName(reasonOf(failure.status)), !failure.notSent);
+        recordFailure(first, cause, brokenStreamSuspension);
+    failOver(cause, !failure.notSent);
 }
 
 void StreamCall::recordFailure(const EndpointId& runner, std::string_view cause, Duration suspension)
--- a/packages/gateway/fuchsialb/src/Gateway/StreamCall.h
+++ b/packages/gateway/fuchsialb/src/Gateway/StreamCall.h
@@ -53,6 +53,7 @@
     /// \return Whether the response is authentic, so that its body is to be read.
     bool handleHead(const HttpResponse& head);
     void handlePiece(std::string_view piece);
+    void forwardEvents(std::string text, TimePoint now);
     void handleResponse(HttpResponse response);
     void handleFailure(const HttpFailure& failure);
     void handleRefusal(const RunnerResponse& runnerResponse, std::uint32_t status);
@@ -134,6 +135,8 @@
     bool m_responseStarted = false;
     std::optional<std::uint64_t> m_lastEventId;
     EventSplitter m_splitter;
+    /// The current run sends bytes that are no events, and is being cancelled.
+    bool m_isOversized = false;
     std::optional<HttpResponse> m_head;
     /// Runners that refused the request or can't serve it.
     std::set<EndpointId> m_excluded;
