--- a/packages/core/fuchsialb/src/Sched/ModelRecovery.cpp
+++ b/packages/core/fuchsialb/src/Sched/ModelRecovery.cpp
@@ -10,6 +10,8 @@
 
     /// A request that loses this many stages is given up: no realistic sequence of independent failures gets there.
     constexpr std::uint32_t mostRecoveries = 8;
+    /// A request that loses more stages without a token in between may be the reason why their runners end.
+    constexpr std::uint32_t mostFruitlessRecoveries = 2;
 
     bool contains(const std::vector<RouteStage>& stages, const EndpointId& id)
     {
@@ -104,7 +106,8 @@
     run.route = kept;
     run.options.clear();
     run.rebuilding.clear();
-    if (++run.recoveries > mostRecoveries) {
+    run.countRecovery();
+    if (run.recoveries > mostRecoveries || run.fruitlessRecoveries > mostFruitlessRecoveries) {
         giveUp(request, reason);
         return;
     }
--- a/packages/core/fuchsialb/src/Sched/ModelRun.h
+++ b/packages/core/fuchsialb/src/Sched/ModelRun.h
@@ -27,6 +27,9 @@
     /// A state move is in progress; the run of the epoch is not started yet.
     bool moving = false;
     std::uint32_t recoveries = 0;
+    /// Recoveries since the last token.
+    std::uint32_t fruitlessRecoveries = 0;
+    std::size_t tokensAtRecovery = 0;
 
     TimePoint lastProgress {};
     /// Longest time without progress before the run counts as failed.
@@ -34,6 +37,15 @@
     /// The same once the epoch has yielded a token.
     Duration tokenSilenceBound { 0 };
 
+    void countRecovery()
+    {
+        ++recoveries;
+        if (generated.size() > tokensAtRecovery)
+            fruitlessRecoveries = 0;
+        ++fruitlessRecoveries;
+        tokensAtRecovery = generated.size();
+    }
+
     bool accepts(Epoch of, std::uint32_t position) const
     {
         return !moving && of == epoch && position == generated.size();
--- a/packages/core/tests/SchedRecoveryTest.cpp
+++ b/packages/core/tests/SchedRecoveryTest.cpp
@@ -369,3 +369,54 @@
     CHECK(driver.result(1).outcome == Outcome::Completed);
     CHECK(driver.faults.empty());
 }
+
+// Guards against a request that ends one runner after another, since each end entitled it to the next one.
+SCENARIO("a request under which runners fail before its next token is given up")
+{
+    GIVEN("a model with many runners for each range of layers")
+    {
+        SchedDriver driver(schedModel(8, 4));
+        driver.plays = false;
+        Request request = schedRequest(1);
+        request.idempotent = true;
+        driver.submit(request);
+        constexpr std::size_t maxEndedRunners = 3;
+
+        const auto failRuns = [&](std::size_t most) {
+            std::size_t failed = 0;
+            while (failed < most && !driver.finished(1)) {
+                const StartRun run = driver.last<StartRun>();
+                driver.scheduler->onRunFailed(run.request, run.attempt, run.epoch,
+                    static_cast<std::uint32_t>(failed % run.route.size()), FailureProof::MayHaveRun,
+                    Reason::ConnectionLost);
+                driver.pump();
+                driver.advance(10ms);
+                ++failed;
+            }
+            return failed;
+        };
+
+        WHEN("each runner that begins it ends")
+        {
+            const std::size_t failed = failRuns(8);
+
+            THEN("it is given up after a few of them")
+            {
+                CHECK(failed <= maxEndedRunners);
+                CHECK(driver.finished(1));
+            }
+        }
+
+        WHEN("it gets a token between the failures")
+        {
+            for (std::uint32_t position = 0; position < 4; ++position) {
+                REQUIRE(failRuns(1) == 1);
+                const StartRun run = driver.last<StartRun>();
+                driver.scheduler->onToken(run.request, run.attempt, run.epoch, position, "t");
+                driver.pump();
+            }
+
+            THEN("it goes on") { CHECK_FALSE(driver.finished(1)); }
+        }
+    }
+}
