--- a/packages/core/fuchsialb/src/Fleet/CrashEvidence.cpp
+++ b/packages/core/fuchsialb/src/Fleet/CrashEvidence.cpp
@@ -31,7 +31,7 @@
         // Each text is followed by a byte that can't be part of it.
         std::string text = process.runner.value() + '\n' + std::to_string(process.startedAt) + '\n' + service.value();
         for (const SuspectPart& part : parts)
-            text += '\n' + part.part.value() + (part.cleared ? '\1' : '\2');
+            text += '\n' + part.part.value() + (part.cleared ? '\1' : '\2') + std::to_string(part.answerBits);
         return hash64(text);
     }
 
@@ -83,6 +83,8 @@
 
 bool CrashEvidence::add(Report report)
 {
+    for (SuspectPart& suspect : report.parts)
+        suspect.answerBits = std::max(suspect.answerBits, answerBits({ report.service, suspect.part }));
     const auto known = std::find_if(m_reports.begin(), m_reports.end(), [&](const Report& other) {
         return other.process == report.process && other.service == report.service
             && sameParts(other.parts, report.parts);
@@ -94,8 +96,11 @@
     }
     bool changed = false;
     for (std::size_t i = 0; i < known->parts.size(); ++i) {
-        if (report.parts[i].cleared && !known->parts[i].cleared)
-            changed = known->parts[i].cleared = true;
+        SuspectPart& suspect = known->parts[i];
+        const SuspectPart merged { suspect.part, suspect.cleared || report.parts[i].cleared,
+            std::max(suspect.answerBits, report.parts[i].answerBits) };
+        changed = changed || merged != suspect;
+        suspect = merged;
     }
     return changed;
 }
@@ -193,10 +198,15 @@
     return count;
 }
 
-std::size_t CrashEvidence::requiredCrashes(const ServicePart& part) const
+std::uint32_t CrashEvidence::answerBits(const ServicePart& part) const
+{
+    return static_cast<std::uint32_t>(std::bit_width(m_answers.count(part)));
+}
+
+std::size_t CrashEvidence::requiredCrashes(const Candidate& candidate) const
 {
     // One more for each doubling of the answers.
-    return m_limits.minCrashes + static_cast<std::size_t>(std::bit_width(m_answers.count(part)));
+    return m_limits.minCrashes + std::min<std::size_t>(candidate.answerBits, m_limits.maxFurtherCrashes);
 }
 
 std::map<ServicePart, CrashEvidence::Candidate> CrashEvidence::candidates(
@@ -212,6 +222,7 @@
             Candidate& candidate = found[{ report.service, report.parts[i].part }];
             candidate.processes.insert(report.process);
             candidate.position = std::max(candidate.position, i);
+            candidate.answerBits = std::max(candidate.answerBits, report.parts[i].answerBits);
         }
     }
     return found;
@@ -229,8 +240,8 @@
         Candidate bestCandidate;
         for (const auto& [part, candidate] : candidates(explained)) {
             const auto margin = static_cast<std::ptrdiff_t>(crashCount(candidate.processes))
-                - static_cast<std::ptrdiff_t>(requiredCrashes(part));
-            const Rank rank { margin, -static_cast<std::ptrdiff_t>(m_answers.count(part)), candidate.position };
+                - static_cast<std::ptrdiff_t>(requiredCrashes(candidate));
+            const Rank rank { margin, -static_cast<std::ptrdiff_t>(candidate.answerBits), candidate.position };
             if (margin >= 0 && (!bestRank || rank > *bestRank)) {
                 bestRank = rank;
                 best = part;
@@ -246,7 +257,7 @@
             explained.insert(process);
         }
         const std::size_t crashes = crashCount(bestCandidate.processes);
-        const std::size_t doublings = std::min(crashes - m_limits.minCrashes, maxTrialDoublings);
+        const std::size_t doublings = std::min(crashes - requiredCrashes(bestCandidate), maxTrialDoublings);
         m_quarantined[best] = { best.second, crashes, lastEnd + m_limits.firstTrial * (1U << doublings) };
     }
     m_digest = 0;
--- a/packages/core/fuchsialb/src/Fleet/CrashEvidence.h
+++ b/packages/core/fuchsialb/src/Fleet/CrashEvidence.h
@@ -15,13 +15,14 @@
 /// A request under which its runner ends would end one runner after another, and so would the other requests with the
 /// part of the prompt that is the cause. A report names the parts of a request that had not been answered when its
 /// runner ended; an answer to any later request with a part clears it. Hosts exchange their reports and come to the
-/// same reports, whatever the order in which these arrive.
+/// same reports, whatever the order in which these arrive. A report also tells how often its parts had been answered at
+/// the host that answered them most often.
 ///
 /// A part is quarantined when enough crashes are reported for it. Requests that were at the same runner as the one at
 /// fault report the crash as well, so the parts are chosen as a small set that explains the crashes: first the part
 /// with the most crashes beyond those it needs, then, of equal ones, the one answered least often and the one nearest
 /// to the end of the prompt, which fewer requests share. Crashes that a chosen part explains say nothing about other
-/// parts. A part that has been answered often needs more crashes.
+/// parts. A part that has been answered often needs a few more crashes.
 ///
 /// The longer a part has been the cause, the later it is tried again, by one request of the host that may do so.
 class CrashEvidence {
@@ -34,7 +35,9 @@
         Duration crashWindow { std::chrono::milliseconds(200) };
         /// Crashes after which a part is quarantined that has not been answered before.
         std::size_t minCrashes = 2;
-        /// Time until a part with `minCrashes` crashes is tried again; doubled by each further one.
+        /// Crashes that a part needs beyond these, at most, if it has been answered before.
+        std::size_t maxFurtherCrashes = 3;
+        /// Time until a part with just the crashes that it needs is tried again; doubled by each further one.
         Duration firstTrial { std::chrono::seconds(30) };
         /// Time until a trial without an outcome is repeated.
         Duration trialTime { std::chrono::seconds(5) };
@@ -92,6 +95,7 @@
     /// Evidence for one part.
     struct Candidate {
         std::set<RunnerProcess> processes;
+        std::uint32_t answerBits = 0;
         /// Largest number of shared parts that precede it in a prompt.
         std::size_t position = 0;
     };
@@ -104,7 +108,8 @@
     std::map<ServicePart, Candidate> candidates(const std::set<RunnerProcess>& explained) const;
     /// \return The number of crashes that the ends of the processes count as.
     std::size_t crashCount(const std::set<RunnerProcess>& processes) const;
-    std::size_t requiredCrashes(const ServicePart& part) const;
+    std::uint32_t answerBits(const ServicePart& part) const;
+    std::size_t requiredCrashes(const Candidate& candidate) const;
     TimePoint endOf(const RunnerProcess& process) const;
 
     Limits m_limits;
--- a/packages/core/fuchsialb/src/Fleet/CrashReport.h
+++ b/packages/core/fuchsialb/src/Fleet/CrashReport.h
@@ -22,6 +22,8 @@
     PromptPartId part;
     /// A request with this part has been answered since, so the part is not the cause.
     bool cleared = false;
+    /// Bit width of the number of earlier answers to requests with this part, the largest that any host has counted.
+    std::uint32_t answerBits = 0;
 
     bool operator==(const SuspectPart&) const = default;
 };
--- a/packages/core/tests/FleetCrashEvidenceTest.cpp
+++ b/packages/core/tests/FleetCrashEvidenceTest.cpp
@@ -143,6 +143,38 @@
         }
     }
 
+    GIVEN("a part that was answered most often of all")
+    {
+        for (int i = 0; i < 1000; ++i)
+            answer({ common, bad });
+
+        WHEN("runners end under it one after the other, and no request with it is answered")
+        {
+            for (int i = 0; i < 5; ++i) {
+                CHECK_FALSE(isQuarantined(evidence, bad));
+                now += 300ms;
+                crash(i, { common, bad });
+            }
+
+            THEN("it is quarantined by the fifth crash, as the one that fewer requests share")
+            {
+                CHECK(isQuarantined(evidence, bad));
+                CHECK_FALSE(isQuarantined(evidence, common));
+            }
+        }
+        WHEN("runners end under other requests, and those with it are answered in between")
+        {
+            for (int i = 0; i < 20; ++i) {
+                now += 300ms;
+                crash(i, { common, bad });
+                now += 100ms;
+                answer({ common, bad });
+            }
+
+            THEN("nothing is quarantined") { CHECK(evidence.quarantined().empty()); }
+        }
+    }
+
     GIVEN("a host that has just started and was told of crashes only")
     {
         WHEN("the crashes have two parts in common")
--- a/packages/wire/fuchsialb/src/Wire/PeerMessageDecode.cpp
+++ b/packages/wire/fuchsialb/src/Wire/PeerMessageDecode.cpp
@@ -324,7 +324,7 @@
         if (!in.status().ok())
             return to;
         for (const wire::SuspectPart& part : from.parts())
-            to.parts.push_back({ in.id<PromptPartId>(part.part(), "crash.part"), part.cleared() });
+            to.parts.push_back({ in.id<PromptPartId>(part.part(), "crash.part"), part.cleared(), part.answer_bits() });
         return to;
     }
 
--- a/packages/wire/fuchsialb/src/Wire/PeerMessageEncode.cpp
+++ b/packages/wire/fuchsialb/src/Wire/PeerMessageEncode.cpp
@@ -152,6 +152,7 @@
             wire::SuspectPart& added = *to.add_parts();
             added.set_part(part.part.value());
             added.set_cleared(part.cleared);
+            added.set_answer_bits(part.answerBits);
         }
     }
 
--- a/packages/wire/tests/support/PeerMessages.cpp
+++ b/packages/wire/tests/support/PeerMessages.cpp
@@ -87,7 +87,8 @@
             CrashReport report { { EndpointId(id(below)), static_cast<std::int64_t>(below(anyNumber)) },
                 TargetId(id(below)), {}, duration(below) };
             for (std::uint64_t j = below(4); j > 0; --j)
-                report.parts.push_back({ PromptPartId(id(below)), below(2) == 1 });
+                report.parts.push_back(
+                    { PromptPartId(id(below)), below(2) == 1, static_cast<std::uint32_t>(below(32)) });
             drawn.crashes.push_back(std::move(report));
         }
         drawn.runners = directory(below);
