Examine a runner again that was found alive before it ended

A runner that broke a stream off and was found alive was not asked again within five seconds, so a crash within that time was no evidence: in platform.CrashingPartTest four runners ended under requests with one part instead of two, and the third request was sent. Each run that breaks off now asks again, and the earlier ones at a runner found alive don't count as evidence.

--- a/packages/gateway/fuchsialb/src/Gateway/CrashWatch.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/CrashWatch.cpp
@@ -41,17 +41,21 @@
     const RunnerProcess process { runner.id, runner.startedAt };
     const auto [found, isNew] = m_cases.try_emplace(process);
     Case& examined = found->second;
+    // The runs that broke off before were not the reason for what happens now.
+    if (examined.finding == Finding::Alive)
+        examined.requests.clear();
     const std::pair request { service, parts };
     const bool isKnown
         = std::find(examined.requests.begin(), examined.requests.end(), request) != examined.requests.end();
     if (!isKnown && examined.requests.size() < maxRequests)
         examined.requests.push_back(request);
-    if (isNew) {
+    if (examined.finding == Finding::Ended) {
+        report(process, examined);
+    } else if (isNew || examined.finding != Finding::Asked) {
         examined.address = runner.address;
         examined.brokenAt = m_context.now();
+        examined.finding = Finding::Asked;
         ask(process, runner.address);
-    } else if (examined.finding == Finding::Ended) {
-        report(process, examined);
     }
 }
 
--- a/packages/gateway/fuchsialb/src/Gateway/CrashWatch.h
+++ b/packages/gateway/fuchsialb/src/Gateway/CrashWatch.h
@@ -31,7 +31,7 @@
     CrashWatch(const CrashWatch&) = delete;
     CrashWatch& operator=(const CrashWatch&) = delete;
 
-    /// Examines the runner of a run that broke off before it was answered.
+    /// Examines the runner of a run that broke off before it was answered, also one that was found alive before.
     /// \param parts The shared parts of the prompt.
     void examine(const RunnerEntry& runner, const TargetId& service, const std::vector<PromptPartId>& parts);
     /// \return What is known of a runner that was examined within the last few seconds, otherwise `Unknown`.
