Look the ends of reported processes up once for each evaluation

Each candidate searched all reports for each of its crashes; with the most reports and parts that was quadratic. The linter asked for the capacity of a vector. core.FleetCrashEvidenceTest and FleetContainmentTest pass as before.

--- a/packages/core/fuchsialb/src/Fleet/CrashEvidence.cpp
+++ b/packages/core/fuchsialb/src/Fleet/CrashEvidence.cpp
@@ -171,21 +171,12 @@
     });
 }
 
-TimePoint CrashEvidence::endOf(const RunnerProcess& process) const
-{
-    TimePoint end = TimePoint::max();
-    for (const Report& report : m_reports) {
-        if (report.process == process)
-            end = std::min(end, report.endedAt);
-    }
-    return end;
-}
-
 std::size_t CrashEvidence::crashCount(const std::set<RunnerProcess>& processes) const
 {
     std::vector<TimePoint> ends;
+    ends.reserve(processes.size());
     for (const RunnerProcess& process : processes)
-        ends.push_back(endOf(process));
+        ends.push_back(m_ends.at(process));
     std::sort(ends.begin(), ends.end());
     std::size_t count = 0;
     TimePoint windowStart {};
@@ -232,6 +223,11 @@
 {
     m_quarantined.clear();
     m_explained.clear();
+    m_ends.clear();
+    for (const Report& report : m_reports) {
+        const auto [found, isNew] = m_ends.emplace(report.process, report.endedAt);
+        found->second = std::min(found->second, report.endedAt);
+    }
     std::set<RunnerProcess> explained;
     while (true) {
         using Rank = std::tuple<std::ptrdiff_t, std::ptrdiff_t, std::size_t>;
@@ -252,7 +248,7 @@
             break;
         TimePoint lastEnd {};
         for (const RunnerProcess& process : bestCandidate.processes) {
-            lastEnd = std::max(lastEnd, endOf(process));
+            lastEnd = std::max(lastEnd, m_ends.at(process));
             m_explained.emplace(process, best);
             explained.insert(process);
         }
--- a/packages/core/fuchsialb/src/Fleet/CrashEvidence.h
+++ b/packages/core/fuchsialb/src/Fleet/CrashEvidence.h
@@ -110,10 +110,11 @@
     std::size_t crashCount(const std::set<RunnerProcess>& processes) const;
     std::uint32_t answerBits(const ServicePart& part) const;
     std::size_t requiredCrashes(const Candidate& candidate) const;
-    TimePoint endOf(const RunnerProcess& process) const;
 
     Limits m_limits;
     std::vector<Report> m_reports;
+    /// When each reported process ended, by the earliest report.
+    std::map<RunnerProcess, TimePoint> m_ends;
     std::map<ServicePart, Quarantine> m_quarantined;
     /// Crashes that quarantined parts explain.
     std::map<RunnerProcess, ServicePart> m_explained;
