Log the part for which a request is refused

A refusal named its cause but not the part, so an operator could not get from a refused request to the crashes behind it when several parts are quarantined. While none is, the check of each open request copies no names.

--- a/packages/core/fuchsialb/src/Fleet/CrashEvidence.cpp
+++ b/packages/core/fuchsialb/src/Fleet/CrashEvidence.cpp
@@ -140,6 +140,8 @@
 const CrashEvidence::Quarantine* CrashEvidence::quarantine(
     const TargetId& service, const std::vector<PromptPartId>& parts) const
 {
+    if (m_quarantined.empty())
+        return nullptr;
     for (const PromptPartId& part : parts) {
         if (const auto found = m_quarantined.find({ service, part }); found != m_quarantined.end())
             return &found->second;
--- a/packages/gateway/fuchsialb/src/Gateway/RequestDispatcher.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/RequestDispatcher.cpp
@@ -104,12 +104,11 @@
     const PromptPartId part = quarantine->part;
     const Duration untilTrial = std::max<Duration>(quarantine->trialAt - now, otherHostRetryAfter);
     isTrial = m_context.hosts.leadsFleet(now) && evidence.beginTrial(service, part, now);
-    if (!isTrial) {
+    LogLine line(isTrial ? "quarantine-trial" : "quarantine-applied");
+    m_context.log.log(line.add("request", matched.request.id).add("part", part.value()));
+    if (!isTrial)
         refuse(reply, GatewayError::NotRun, matched.request.id, "prompt-quarantined", untilTrial);
-        return true;
-    }
-    m_context.log.log(LogLine("quarantine-trial").add("request", matched.request.id).add("part", part.value()));
-    return false;
+    return !isTrial;
 }
 
 std::optional<GatewayError> RequestDispatcher::authenticate(MatchedRequest& matched) const
