End the handling of a piece when its request has finished on the way

The check for bytes that form no event uses the exchange, which is gone if the caller left while the events before it were forwarded. From reading; no run has shown it.

--- a/packages/gateway/fuchsialb/src/Gateway/StreamCall.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/StreamCall.cpp
@@ -298,6 +298,9 @@
     }
     if (!text.empty())
         forwardEvents(std::move(text), now);
+    // The caller may have left on the way.
+    if (isFinished())
+        return;
     m_isOversized = m_splitter.bufferedSize() > maxEventBytes;
     // The exchange then fails, and with it the run.
     if (m_isOversized)
