Read and log the limits on requests that runners name

Change: the limit is decoded (a decimal number; anything else is logged as rate-limit-unreadable and leaves what is known as it is), kept by the start of the runner's process, and logged as runner-rate-limit when it changes or ends. Requests are sent as before.

--- a/packages/core/fuchsialb/src/Base/Units.h
+++ b/packages/core/fuchsialb/src/Base/Units.h
@@ -44,6 +44,7 @@
 using Tokens = internal::Quantity<struct TokensTag, std::int64_t>;
 using Bytes = internal::Quantity<struct BytesTag, std::int64_t>;
 using BytesPerSecond = internal::Quantity<struct BytesPerSecondTag, double>;
+using RequestsPerSecond = internal::Quantity<struct RequestsPerSecondTag, double>;
 
 using Duration = std::chrono::microseconds;
 
--- a/packages/gateway/fuchsialb/src/Gateway/GatewayContext.h
+++ b/packages/gateway/fuchsialb/src/Gateway/GatewayContext.h
@@ -32,6 +32,8 @@
     SharedRetryBudget retryBudget;
     LinkBudget linkBudget;
     AdmissionQueue admissionQueue;
+    /// Limits on requests that runners have named.
+    RequestRateLimits rateLimits {};
     /// Set by SIGTERM, SIGINT and `Gateway::requestStop()`.
     bool stopping = false;
     TimePoint stoppingSince {};
--- a/packages/gateway/fuchsialb/src/Gateway/StreamCall.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/StreamCall.cpp
@@ -218,6 +218,7 @@
     m_isOversized = false;
     m_stallDetector.emplace(StallDetector::Limits {}, now);
     m_stallControls.clear();
+    m_sentAt = now;
     if (m_runs == 1)
         m_startedAt = now;
     RunnerCall call;
@@ -274,7 +275,7 @@
     const RunnerResponse runnerResponse = m_context.translator.runnerResponse(head);
     if (!isAuthentic(runnerResponse))
         return false;
-    recordRunnerNotices(m_context, { m_path.front().runner, m_firstStartedAt }, runnerResponse, head.status);
+    recordRunnerNotices(m_context, { m_path.front().runner, m_firstStartedAt }, runnerResponse, head.status, m_sentAt);
     if (!m_head)
         m_head = head;
     return true;
@@ -323,7 +324,8 @@
 void StreamCall::handleResponse(HttpResponse response)
 {
     const RunnerResponse runnerResponse = m_context.translator.runnerResponse(response);
-    recordRunnerNotices(m_context, { m_path.front().runner, m_firstStartedAt }, runnerResponse, response.status);
+    recordRunnerNotices(
+        m_context, { m_path.front().runner, m_firstStartedAt }, runnerResponse, response.status, m_sentAt);
     const bool succeeded = response.status >= 200 && response.status < 300;
     if (succeeded && isAuthentic(runnerResponse)) {
         // Without a length or chunks, the end of the connection is the end of the response, also of one that broke off.
--- a/packages/gateway/fuchsialb/src/Gateway/StreamCall.h
+++ b/packages/gateway/fuchsialb/src/Gateway/StreamCall.h
@@ -126,6 +126,8 @@
     bool m_isPathReserved = false;
     /// Start of the process of the first runner on the path, as known when the request was sent there.
     std::int64_t m_firstStartedAt = 0;
+    /// When the current run was sent.
+    TimePoint m_sentAt {};
     std::optional<HttpExchangeId> m_exchange;
     /// Incremented for each run, so that late callbacks of an earlier one are ignored.
     std::uint32_t m_runs = 0;
--- a/packages/gateway/fuchsialb/src/Gateway/Translator.h
+++ b/packages/gateway/fuchsialb/src/Gateway/Translator.h
@@ -72,6 +72,10 @@
     Duration rest { 0 };
     /// The response names a time, but not a valid one.
     bool restUnreadable = false;
+    /// Rate of requests that the runner takes from all hosts together, as long as its responses name one.
+    std::optional<RequestsPerSecond> rateLimit {};
+    /// The response names a rate, but not a valid one.
+    bool rateLimitUnreadable = false;
 };
 
 /// \brief A request that is blocked at a runner, waiting for another runner on its path.
--- a/packages/gateway/fuchsialb/src/Gateway/UnaryCall.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/UnaryCall.cpp
@@ -57,6 +57,7 @@
         return false;
     m_endpoint = runner->entry.id;
     m_endpointStartedAt = runner->entry.startedAt;
+    m_sentAt = now;
     m_context.ledger.reserve({ { m_endpoint, runner->entry.address, {} } }, 0);
     ++m_run;
     ++m_attempts;
@@ -105,7 +106,7 @@
 {
     const TimePoint now = m_context.now();
     const RunnerResponse runnerResponse = m_context.translator.runnerResponse(response);
-    recordRunnerNotices(m_context, { m_endpoint, m_endpointStartedAt }, runnerResponse, response.status);
+    recordRunnerNotices(m_context, { m_endpoint, m_endpointStartedAt }, runnerResponse, response.status, m_sentAt);
     releaseEndpoint();
     m_excluded.insert(m_endpoint);
     if (runnerResponse.notRun || response.status == statusMisdirectedRequest) {
--- a/packages/gateway/fuchsialb/src/Gateway/UnaryCall.h
+++ b/packages/gateway/fuchsialb/src/Gateway/UnaryCall.h
@@ -32,6 +32,7 @@
     std::optional<HttpExchangeId> m_exchange;
     EndpointId m_endpoint;
     std::int64_t m_endpointStartedAt = 0;
+    TimePoint m_sentAt {};
     std::uint64_t m_run = 0;
     /// Endpoints that may have run the request, or that refused it.
     std::uint32_t m_attempts = 0;
