Keep to the limits that runners name, over all hosts together

Callers saw nothing; a runner in need got far more requests than the limit that it had named (LIMIT). Cause: a bound on the whole fleet that no host kept. A data centre has one or two runners that hold the first layers, so all its streams start there whatever these name, and a host that kept to the limit alone would still let N hosts send N times as much. Change: hosts pass the limits and their demand for these runners on with their beats; each admits the same share of its own requests, the limit over the demand of all (RequestRateAdmission), urgent ones first. A request that isn't admitted starts at another runner, and is refused at once, with a delay that follows from the rate, where there is none. Works because the shares add up to the limit however the demand is divided, and a restarted host is told by the first beat.

--- a/packages/core/fuchsialb/Fleet.h
+++ b/packages/core/fuchsialb/Fleet.h
@@ -22,6 +22,7 @@
 #include "src/Fleet/PathRepair.h"
 #include "src/Fleet/PlacementDriver.h"
 #include "src/Fleet/PlacementPlanner.h"
+#include "src/Fleet/RequestRateAdmission.h"
 #include "src/Fleet/RequestRateLimits.h"
 #include "src/Fleet/RoutingTable.h"
 #include "src/Fleet/RunHistory.h"
--- a/packages/core/fuchsialb/src/Fleet/BeatExchange.cpp
+++ b/packages/core/fuchsialb/src/Fleet/BeatExchange.cpp
@@ -82,6 +82,7 @@
     addSuspicions(beat, distance(to), now);
     if (distance(to) != Distance::OtherDataCentre)
         beat.leavingRunners = m_state.runners.leavingAheadOfRegistry();
+    beat.rateLimits = m_state.rateLimits.statements(now);
     addDirectories(beat, peer, distance(to), now, bootNow);
     beat.crashDigest = peer.crashDigestSent = m_state.crashes.digest();
     if (peer.crashDigest != beat.crashDigest)
@@ -140,6 +141,25 @@
     }
 }
 
+void BeatExchange::receiveRateLimits(const HostId& from, const HostBeat& beat, TimePoint now)
+{
+    for (const RequestRateLimit& limit : beat.rateLimits) {
+        if (m_state.rateLimits.recordRelayed(limit, now) && m_hooks.onRateLimitChanged)
+            m_hooks.onRateLimitChanged(from, limit);
+    }
+}
+
+void BeatExchange::updateDemand(TimePoint now)
+{
+    // Less is no demand, so that the load of a host without requests becomes empty.
+    constexpr RequestsPerSecond minDemand { 0.01 };
+    for (const RequestRateLimit& limit : m_state.rateLimits.statements(now)) {
+        const RequestsPerSecond demand
+            = limit.rate ? m_state.rateAdmission.demand(limit.runner, now) : RequestsPerSecond();
+        m_state.ledger.setDemand(limit.runner, demand < minDemand ? RequestsPerSecond() : demand);
+    }
+}
+
 void BeatExchange::addSuspicions(HostBeat& beat, Distance to, TimePoint now) const
 {
     if (to == Distance::OtherDataCentre)
@@ -163,6 +183,7 @@
     m_state.hosts.expire(now);
     removeSilentPeers(now);
     removeSilentCells(now);
+    updateDemand(now);
     std::vector<Outgoing> beats;
     for (const HostId& id : recipients(now)) {
         Peer& peer = m_peers[id];
@@ -318,6 +339,7 @@
     m_state.crashes.merge(beat.crashes, now);
     m_state.hosts.recordBeat({ from, beat.dataCentre, beat.address }, beat.leaving, beat.cellLeader, now);
     receiveLoads(from, beat, now);
+    receiveRateLimits(from, beat, now);
     if (m_state.hosts.isLocal(from)) {
         for (const RunnerSuspicion& suspicion : beat.suspicions) {
             m_state.runners.markDeadByPeer(suspicion.runner, now, suspicion.left);
--- a/packages/core/fuchsialb/src/Fleet/BeatExchange.h
+++ b/packages/core/fuchsialb/src/Fleet/BeatExchange.h
@@ -6,6 +6,7 @@
 #include "HostBeat.h"
 #include "HostCells.h"
 #include "HostDirectory.h"
+#include "RequestRateAdmission.h"
 #include "RunnerDirectory.h"
 
 #include <array>
@@ -23,7 +24,8 @@
 /// only the leaders of the data centres do, with the total load of their data centre, since traffic between data
 /// centres is expensive. Beats carry the load (so that all hosts admit against the same total), runners found dead or
 /// leaving (so that other hosts needn't detect them by failed requests), and the proof that a configuration is the
-/// newest (so that a host cut off from the store can still trust its configuration).
+/// newest (so that a host cut off from the store can still trust its configuration). Limits on requests that runners
+/// have named go to all hosts, with the demand for these runners as a part of the load.
 ///
 /// Beats to all hosts carry the reports of crashes, to a host whose reports differ; a host that has learnt of a crash
 /// sends its beats at once.
@@ -47,6 +49,8 @@
         DirectoryView& runnersView;
         DirectoryView& hostsView;
         CrashEvidence& crashes;
+        RequestRateLimits& rateLimits;
+        const RequestRateAdmission& rateAdmission;
     };
 
     /// Called with what another host has passed on.
@@ -56,6 +60,8 @@
         std::function<void(const HostId& from, const DirectoryUpdate& update)> onHostsChanged;
         /// Called for a runner that counts as draining since the beat of another host, ahead of the registry.
         std::function<void(const HostId& from, const RunnerLeaving& leaving)> onRunnerLeaving;
+        /// Called for a limit on requests that has changed since the beat of another host.
+        std::function<void(const HostId& from, const RequestRateLimit& limit)> onRateLimitChanged;
     };
 
     struct Outgoing {
@@ -134,6 +140,9 @@
     void receiveDirectories(const HostId& from, const HostBeat& beat, Duration echoedAt);
     void addSuspicions(HostBeat& beat, Distance to, TimePoint now) const;
     void receiveLeavingRunners(const HostId& from, const HostBeat& beat);
+    void receiveRateLimits(const HostId& from, const HostBeat& beat, TimePoint now);
+    /// Lets the load of this host tell its demand for the runners that have named a limit on requests.
+    void updateDemand(TimePoint now);
     void receiveLoads(const HostId& from, HostBeat& beat, TimePoint now);
     /// Takes the load of all other cells from the leader of this one.
     void receiveOtherCells(const HostId& from, HostBeat& beat, TimePoint now);
--- a/packages/core/fuchsialb/src/Fleet/HostBeat.h
+++ b/packages/core/fuchsialb/src/Fleet/HostBeat.h
@@ -5,6 +5,7 @@
 #include "CrashReport.h"
 #include "DirectoryView.h"
 #include "LoadLedger.h"
+#include "RequestRateLimits.h"
 #include "RunnerDirectory.h"
 
 #include <cstdint>
@@ -63,6 +64,8 @@
     std::vector<RunnerSuspicion> suspicions;
     /// Runners that told the sender, or a host that it heard from, that they leave.
     std::vector<RunnerLeaving> leavingRunners;
+    /// Limits on requests that runners have named to the sender or to a host that it heard from.
+    std::vector<RequestRateLimit> rateLimits;
     /// Digest of the sender's crash reports.
     std::uint64_t crashDigest = 0;
     /// All of the sender's crash reports; empty unless the receiver's last beat told another digest.
--- a/packages/core/fuchsialb/src/Fleet/HostDirectory.cpp
+++ b/packages/core/fuchsialb/src/Fleet/HostDirectory.cpp
@@ -207,6 +207,19 @@
     });
 }
 
+double HostDirectory::cellHostsPerHeard(TimePoint now) const
+{
+    std::size_t known = 1;
+    std::size_t heard = 1;
+    for (const auto& [id, host] : m_hosts) {
+        if (!inOwnCell(id))
+            continue;
+        ++known;
+        heard += alive(id, now) ? 1 : 0;
+    }
+    return static_cast<double>(known) / static_cast<double>(heard);
+}
+
 bool HostDirectory::remoteAlive(const DataCentreId& dataCentre, TimePoint now) const
 {
     const auto found = m_remoteBeatAt.find(dataCentre);
--- a/packages/core/fuchsialb/src/Fleet/HostDirectory.h
+++ b/packages/core/fuchsialb/src/Fleet/HostDirectory.h
@@ -102,6 +102,8 @@
     ///     for a while; runners refuse an order whose expected number of earlier orders doesn't match.
     bool ordersPlacement(const DataCentreId& dataCentre, TimePoint now) const;
     bool hasHosts(const DataCentreId& dataCentre) const;
+    /// \return Number of hosts of this cell for each one that lives, this host included in both; at least 1.
+    double cellHostsPerHeard(TimePoint now) const;
     bool remoteAlive(const DataCentreId& dataCentre, TimePoint now) const;
 
 private:
--- a/packages/core/fuchsialb/src/Fleet/LoadLedger.cpp
+++ b/packages/core/fuchsialb/src/Fleet/LoadLedger.cpp
@@ -27,26 +27,40 @@
     cache += other.cache;
     sequences += other.sequences;
     firstStages += other.firstStages;
+    demand += other.demand;
     return *this;
 }
 
 void LoadLedger::reserve(const Path& path, double tokens)
 {
     for (std::size_t i = 0; i < path.size(); ++i)
-        m_own[path[i].runner] += { tokens * path[i].layers.count(), 1, i == 0 ? 1.0 : 0.0 };
+        m_own[path[i].runner] += { tokens * path[i].layers.count(), 1, i == 0 ? 1.0 : 0.0, 0 };
 }
 
 void LoadLedger::release(const Path& path, double tokens)
 {
     for (std::size_t i = 0; i < path.size(); ++i) {
         RunnerLoad& load = m_own[path[i].runner];
-        load += { -tokens * path[i].layers.count(), -1, i == 0 ? -1.0 : 0.0 };
+        load += { -tokens * path[i].layers.count(), -1, i == 0 ? -1.0 : 0.0, 0 };
         // Requests are counted in whole numbers, so a smaller remainder is a rounding error.
         if (load.sequences < 0.5)
-            m_own.erase(path[i].runner);
+            load = { 0, 0, 0, load.demand };
+        removeIfUnused(path[i].runner);
     }
 }
 
+void LoadLedger::setDemand(const EndpointId& runner, RequestsPerSecond demand)
+{
+    m_own[runner].demand = demand.value();
+    removeIfUnused(runner);
+}
+
+void LoadLedger::removeIfUnused(const EndpointId& runner)
+{
+    if (const auto own = m_own.find(runner); own != m_own.end() && own->second == RunnerLoad())
+        m_own.erase(own);
+}
+
 void LoadLedger::setPeer(const HostId& host, LoadTable load)
 {
     m_peers[host] = std::move(load);
@@ -134,4 +148,10 @@
     return load;
 }
 
+RequestsPerSecond LoadLedger::othersDemand(const EndpointId& runner) const
+{
+    const auto others = m_others.find(runner);
+    return RequestsPerSecond(others == m_others.end() ? 0 : others->second.demand);
+}
+
 } // namespace fuchsialb
--- a/packages/core/fuchsialb/src/Fleet/LoadLedger.h
+++ b/packages/core/fuchsialb/src/Fleet/LoadLedger.h
@@ -27,7 +27,7 @@
 /// \return Number of transitions between data centres along the path.
 std::size_t dataCentreCrossings(const Path& path);
 
-/// \brief KV cache and requests at one runner.
+/// \brief KV cache and requests at one runner, and the demand for it.
 struct RunnerLoad {
     /// KV cache that the requests are expected to need at their end, in tokens times layers.
     double cache = 0;
@@ -35,6 +35,8 @@
     double sequences = 0;
     /// Requests whose paths start at the runner.
     double firstStages = 0;
+    /// Requests a second that hosts have for the runner; 0 unless the runner has named a limit on them.
+    double demand = 0;
 
     RunnerLoad& operator+=(const RunnerLoad& other);
     bool operator==(const RunnerLoad&) const = default;
@@ -51,6 +53,8 @@
     /// \param tokens Expected number of tokens of the request at its end.
     void reserve(const Path& path, double tokens);
     void release(const Path& path, double tokens);
+    /// Replaces the demand of this host for a runner.
+    void setDemand(const EndpointId& runner, RequestsPerSecond demand);
 
     const LoadTable& own() const { return m_own; }
     /// Replaces the load reported by another host of this cell.
@@ -74,9 +78,14 @@
     const std::map<DataCentreId, LoadTable>& remote() const { return m_remote; }
 
     RunnerLoad at(const EndpointId& runner) const;
+    /// \return Demand of all other hosts for a runner.
+    RequestsPerSecond othersDemand(const EndpointId& runner) const;
+    /// \return Whether loads of other cells of this data centre have arrived lately.
+    bool knowsOtherCells() const { return !m_otherCells.empty() || !m_cells.empty(); }
 
 private:
     void rebuildOthers();
+    void removeIfUnused(const EndpointId& runner);
 
     LoadTable m_own;
     std::map<HostId, LoadTable> m_peers;
--- a/packages/core/fuchsialb/src/Fleet/PathFinder.cpp
+++ b/packages/core/fuchsialb/src/Fleet/PathFinder.cpp
@@ -163,7 +163,8 @@
             * costVariation(request.requestId, id);
         holder.layersWithCapacity = request.tokens > 0 ? (capacity - load.cache) / request.tokens : engine.layers;
         holder.mayBeFirst = load.firstStages < engine.slots * std::min(1.0, request.cacheLimit)
-            && (request.allowedFirstRunners.empty() || request.allowedFirstRunners.contains(id));
+            && (request.allowedFirstRunners.empty() || request.allowedFirstRunners.contains(id))
+            && !request.excludedFirstRunners.contains(id);
         holders.push_back(holder);
         for (const std::uint32_t boundary : { entry.layers.first, entry.layers.end }) {
             if (boundary > range.first && boundary < last)
--- a/packages/core/fuchsialb/src/Fleet/PathFinder.h
+++ b/packages/core/fuchsialb/src/Fleet/PathFinder.h
@@ -23,6 +23,8 @@
     std::set<EndpointId> excluded;
     /// Unless empty, the only runners at which the path may start: the number that may run a request is limited.
     std::set<EndpointId> allowedFirstRunners {};
+    /// Runners at which the path must not start: their limits on requests don't admit this one.
+    std::set<EndpointId> excludedFirstRunners {};
     /// Whether hidden states may be sent from one data centre to another.
     bool mayCrossDataCentres = true;
     /// Identifies the request among those of all hosts, which choose differently among runners of similar cost.
--- a/packages/core/tests/support/FleetDataCentre.h
+++ b/packages/core/tests/support/FleetDataCentre.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "fuchsialb/Base.h"
 #include "fuchsialb/Fleet.h"
 
 #include <map>
@@ -23,6 +24,8 @@
     DirectoryView runnersView;
     DirectoryView hostsView;
     CrashEvidence crashes;
+    RequestRateLimits rateLimits;
+    RequestRateAdmission rateAdmission;
     /// Keys of the registry that other hosts have passed on, with their last values.
     std::map<std::string, std::string> registry;
     BeatExchange beats;
@@ -31,13 +34,14 @@
         : id(name)
         , dataCentre(dataCentreName)
         , directory(id, dataCentre)
+        , rateAdmission(static_cast<double>(hash64(name) % 1000) / 1000)
         , beats({ id, dataCentre, std::string(name) + ":1", directory, ledger, runners, configuration, runnersView,
-                    hostsView, crashes },
+                    hostsView, crashes, rateLimits, rateAdmission },
               { [this](const HostId&, const DirectoryUpdate& update) {
                    for (const KeyItem& change : update.changes)
                        registry[change.key] = change.value;
                },
-                  {}, {} })
+                  {}, {}, {} })
     {
     }
 
--- a/packages/gateway/fuchsialb/src/Gateway/Call.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/Call.cpp
@@ -82,6 +82,38 @@
                    : usual;
 }
 
+bool Call::admitsRequest(const RunnerDirectory::Runner& runner)
+{
+    const RequestRateAdmission::Fleet fleet { m_context.rateLimits, m_context.ledger, m_context.hosts };
+    const bool isAdmitted = m_context.rateAdmission.admit(
+        fleet, runner.entry.id, runner.entry.startedAt, m_matched.urgency, m_context.now());
+    if (!isAdmitted) {
+        m_context.log.log(logLine("rate-limit-applied").add("runner", runner.entry.id.value()));
+        m_context.metrics.count("rate_limit_refusals", "service", m_matched.service->name.value());
+    }
+    return isAdmitted;
+}
+
+Duration Call::retryAfterRateLimit(const std::set<EndpointId>& runners, Duration usual)
+{
+    const TimePoint now = m_context.now();
+    const RequestRateAdmission::Fleet fleet { m_context.rateLimits, m_context.ledger, m_context.hosts };
+    std::optional<Duration> shortest;
+    for (const EndpointId& id : runners) {
+        const RunnerDirectory::Runner* runner = m_context.runners.find(id);
+        if (!runner)
+            continue;
+        const Duration backlog = m_context.rateAdmission.backlog(fleet, id, runner->entry.startedAt, now);
+        shortest = std::min(shortest.value_or(backlog), backlog);
+    }
+    if (!shortest)
+        return usual;
+    // Callers wait no longer than a part of the time that they have left.
+    constexpr int timeLeftDivisor = 3;
+    const auto spread = std::chrono::duration_cast<Duration>(*shortest * (0.5 + m_context.random.unit()));
+    return std::min(std::max(usual, spread), timeLeft(now) / timeLeftDivisor);
+}
+
 void Call::watchCaller()
 {
     m_reply->onClosed([weak = weak_from_this()] {
--- a/packages/gateway/fuchsialb/src/Gateway/Call.h
+++ b/packages/gateway/fuchsialb/src/Gateway/Call.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 
 namespace fuchsialb {
 
@@ -73,6 +74,12 @@
     /// \return Delay before the caller should retry if runners of the service that rest are needed: until the first of
     ///     them may be used again, or `usual` if none rests.
     Duration retryAfterRest(Duration usual);
+    /// \return Whether the limit on requests that a runner has named lets this one be sent there; counted as demand.
+    bool admitsRequest(const RunnerDirectory::Runner& runner);
+    /// \brief Delay before the caller should retry if only runners that have turned the request away by their limits
+    /// can serve it: spreads the callers over the time in which the runner with the least demand takes what it is
+    /// asked for in a second.
+    Duration retryAfterRateLimit(const std::set<EndpointId>& runners, Duration usual);
     /// Calls `callerDisconnected` when the caller closes the connection.
     void watchCaller();
     /// Finishes the request by closing the connection, for a response that has started and can't be completed.
--- a/packages/gateway/fuchsialb/src/Gateway/Gateway.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/Gateway.cpp
@@ -80,6 +80,9 @@
                     },
                     [this](const HostId& from, const RunnerLeaving& leaving) {
                         reportRunnerLeaving(*m_context, leaving, from.value());
+                    },
+                    [this](const HostId& from, const RequestRateLimit& limit) {
+                        reportRateLimit(*m_context, limit, from.value());
                     } });
             m_context->onRunnerLeaving = [this](const EndpointId& runner) { m_requests->runnerLeaving(runner); };
             m_storeSession.emplace(*m_context, [this](const std::string& key) { m_peers->openTransport(key); });
--- a/packages/gateway/fuchsialb/src/Gateway/GatewayContext.h
+++ b/packages/gateway/fuchsialb/src/Gateway/GatewayContext.h
@@ -32,8 +32,9 @@
     SharedRetryBudget retryBudget;
     LinkBudget linkBudget;
     AdmissionQueue admissionQueue;
-    /// Limits on requests that runners have named.
+    /// Limits on requests that runners have named, and what this host may send to these runners.
     RequestRateLimits rateLimits {};
+    RequestRateAdmission rateAdmission { random.unit() };
     /// Set by SIGTERM, SIGINT and `Gateway::requestStop()`.
     bool stopping = false;
     TimePoint stoppingSince {};
--- a/packages/gateway/fuchsialb/src/Gateway/StreamCall.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/StreamCall.cpp
@@ -35,6 +35,8 @@
     // Other requests with the same parts are answered within this time, if they are sound. Callers disconnect after two
     // seconds without an event.
     constexpr Duration maxSuspicionWait = std::chrono::milliseconds(1000);
+    // Interval between attempts to start a waiting stream at runners whose limits on requests didn't admit it.
+    constexpr Duration rateLimitRetryInterval = std::chrono::milliseconds(250);
     constexpr std::uint32_t statusMisdirectedRequest = 421;
 
     /// \return Comma-separated data centres of a path, in order.
@@ -98,13 +100,13 @@
     const TimePoint now = m_context.now();
     // New requests must not overtake queued ones of the same or a higher urgency.
     if (!m_context.admissionQueue.hasWaiting(m_matched.urgency)) {
-        if (auto path = findPath(now)) {
+        if (auto path = findAdmittingPath(now)) {
             startRun(*std::move(path));
             return;
         }
     }
     if (!canBeServed(now)) {
-        refuse("layers-missing");
+        refuse(m_rateLimited.empty() ? "layers-missing" : "rate-limited");
         return;
     }
     enqueue(AdmissionPolicy::maxWait(m_matched.route->latencyObjective));
@@ -124,6 +126,7 @@
     PathRequest request { m_matched.service->name, m_context.settings.dataCentre, expectedTokens(), cacheLimit,
         m_excluded };
     request.requestId = m_matched.request.id;
+    request.excludedFirstRunners = m_rateLimited;
     // Once the route allows no other runner, one that was suspected is tried again as soon as it is usable.
     if (!m_history.mayUseAnotherRunner(m_context.runners))
         request.allowedFirstRunners = m_history.runners();
@@ -145,6 +148,20 @@
         key(), { urgency, m_responseStarted || m_matched.isRetry, m_context.now() + maxWait });
 }
 
+std::optional<Path> StreamCall::findAdmittingPath(TimePoint now)
+{
+    if (now - m_rateLimitedAt >= rateLimitRetryInterval)
+        m_rateLimited.clear();
+    while (auto path = findPath(now)) {
+        const RunnerDirectory::Runner* first = m_context.runners.find(path->front().runner);
+        if (!first || admitsRequest(*first))
+            return path;
+        m_rateLimited.insert(first->entry.id);
+        m_rateLimitedAt = now;
+    }
+    return std::nullopt;
+}
+
 std::optional<Path> StreamCall::findPath(TimePoint now)
 {
     const double limit = m_runs > 0 ? resumeCacheLimit : AdmissionPolicy::cacheLimit(m_matched.urgency);
@@ -156,6 +173,8 @@
                 continue;
             if (!request.allowedFirstRunners.empty() && !request.allowedFirstRunners.contains(id))
                 continue;
+            if (request.excludedFirstRunners.contains(id))
+                continue;
             if (!best || m_context.ledger.at(id).firstStages < m_context.ledger.at(best->entry.id).firstStages)
                 best = &runner;
         }
@@ -176,7 +195,7 @@
 {
     if (isFinished() || !m_isQueued)
         return true;
-    auto path = findPath(m_context.now());
+    auto path = findAdmittingPath(m_context.now());
     if (!path)
         return false;
     m_isQueued = false;
@@ -199,7 +218,9 @@
     const TimePoint now = m_context.now();
     const Duration left = timeLeft(now);
     const Duration usual = AdmissionPolicy::retryAfter(m_owner.meanDuration, left, m_context.random.unit());
-    respond(GatewayError::NotRun, cause, canBeServed(now) ? usual : retryAfterRest(usual));
+    const bool isRateLimited = !m_rateLimited.empty();
+    respond(GatewayError::NotRun, cause,
+        canBeServed(now) ? usual : (isRateLimited ? retryAfterRateLimit(m_rateLimited, usual) : retryAfterRest(usual)));
 }
 
 void StreamCall::startRun(Path path)
@@ -514,7 +535,7 @@
 
 void StreamCall::startNextRun(TimePoint now)
 {
-    if (auto path = findPath(now))
+    if (auto path = findAdmittingPath(now))
         startRun(*std::move(path));
     else
         enqueue(m_responseStarted ? maxResumeWait : AdmissionPolicy::maxWait(m_matched.route->latencyObjective));
@@ -530,7 +551,7 @@
     cancelReservation();
     if (!mayRunAgain() || !m_context.retryBudget.tryTake(now, m_context.hosts.size()))
         return;
-    auto path = findPath(now);
+    auto path = findAdmittingPath(now);
     if (!path) {
         m_context.retryBudget.giveBack();
         return;
--- a/packages/gateway/fuchsialb/src/Gateway/StreamCall.h
+++ b/packages/gateway/fuchsialb/src/Gateway/StreamCall.h
@@ -46,6 +46,8 @@
     bool canBeServed(TimePoint now) const;
     void enqueue(Duration maxWait);
     std::optional<Path> findPath(TimePoint now);
+    /// \return A path whose first runner admits the request within its limit on requests.
+    std::optional<Path> findAdmittingPath(TimePoint now);
     PathRequest pathRequest(double cacheLimit) const;
     /// Reserves capacity on the path and sends the request to its first runner.
     void startRun(Path path);
@@ -142,6 +144,9 @@
     std::optional<HttpResponse> m_head;
     /// Runners that refused the request or can't serve it.
     std::set<EndpointId> m_excluded;
+    /// Runners whose limits on requests didn't admit a run as the first one, and when that was.
+    std::set<EndpointId> m_rateLimited;
+    TimePoint m_rateLimitedAt {};
     /// Runners that seem to be dead or cut off; a healthy one may fall silent for a second and go on.
     std::set<EndpointId> m_suspected;
     TimePoint m_suspectedAt {};
--- a/packages/gateway/fuchsialb/src/Gateway/UnaryCall.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/UnaryCall.cpp
@@ -24,7 +24,8 @@
     const RunnerDirectory::Runner* best = nullptr;
     double bestCost = 0;
     for (const auto& [id, runner] : m_context.runners.runners()) {
-        if (runner.entry.service != m_matched.service->name || !runner.usable(now) || m_excluded.contains(id))
+        if (runner.entry.service != m_matched.service->name || !runner.usable(now) || m_excluded.contains(id)
+            || m_rateLimited.contains(id))
             continue;
         const double cost = m_context.ledger.at(id).firstStages
             + (runner.entry.dataCentre == m_context.settings.dataCentre ? 0 : remotePenalty);
@@ -36,15 +37,27 @@
     return best;
 }
 
+const RunnerDirectory::Runner* UnaryCall::chooseAdmittingEndpoint(TimePoint now)
+{
+    while (const RunnerDirectory::Runner* runner = chooseEndpoint(now)) {
+        if (admitsRequest(*runner))
+            return runner;
+        m_rateLimited.insert(runner->entry.id);
+    }
+    return nullptr;
+}
+
 void UnaryCall::start()
 {
     watchCaller();
     if (!send())
-        respond(GatewayError::NotRun, "no-endpoint", retryDelay());
+        respond(GatewayError::NotRun, m_rateLimited.empty() ? "no-endpoint" : "rate-limited", retryDelay());
 }
 
 Duration UnaryCall::retryDelay()
 {
+    if (!m_rateLimited.empty())
+        return retryAfterRateLimit(m_rateLimited, refusalRetryAfter);
     return m_context.runners.hasUsable(m_matched.service->name, m_context.now()) ? refusalRetryAfter
                                                                                  : retryAfterRest(refusalRetryAfter);
 }
@@ -52,7 +65,7 @@
 bool UnaryCall::send()
 {
     const TimePoint now = m_context.now();
-    const RunnerDirectory::Runner* runner = chooseEndpoint(now);
+    const RunnerDirectory::Runner* runner = chooseAdmittingEndpoint(now);
     if (!runner)
         return false;
     m_endpoint = runner->entry.id;
--- a/packages/gateway/fuchsialb/src/Gateway/UnaryCall.h
+++ b/packages/gateway/fuchsialb/src/Gateway/UnaryCall.h
@@ -19,6 +19,8 @@
 
     /// \return The least loaded usable endpoint, or null.
     const RunnerDirectory::Runner* chooseEndpoint(TimePoint now) const;
+    /// \return The least loaded usable endpoint whose limit on requests admits this one, or null.
+    const RunnerDirectory::Runner* chooseAdmittingEndpoint(TimePoint now);
     /// \return Whether the request was sent to another endpoint.
     bool send();
     void handleResponse(HttpResponse response);
@@ -39,6 +41,8 @@
     std::uint32_t m_connectFailures = 0;
     bool m_mayHaveRun = false;
     std::set<EndpointId> m_excluded;
+    /// Endpoints whose limit on requests doesn't admit this one.
+    std::set<EndpointId> m_rateLimited;
     /// A server error from an endpoint, forwarded if the retry fails as well.
     std::optional<HttpResponse> m_errorResponse;
 };
--- a/packages/wire/fuchsialb/src/Wire/PeerMessageDecode.cpp
+++ b/packages/wire/fuchsialb/src/Wire/PeerMessageDecode.cpp
@@ -5,6 +5,7 @@
 
 #include <fmt/format.h>
 
+#include <cmath>
 #include <limits>
 #include <optional>
 
@@ -290,8 +291,10 @@
             return to;
         for (const wire::RunnerLoad& load : from) {
             // Written so that NaN fails as well.
-            in.require(load.cache() >= 0 && load.sequences() >= 0 && load.first() >= 0, "a runner load is negative");
-            to[in.id<EndpointId>(load.runner(), "load.runner")] += { load.cache(), load.sequences(), load.first() };
+            in.require(load.cache() >= 0 && load.sequences() >= 0 && load.first() >= 0 && load.demand() >= 0,
+                "a runner load is negative");
+            to[in.id<EndpointId>(load.runner(), "load.runner")]
+                += { load.cache(), load.sequences(), load.first(), load.demand() };
         }
         return to;
     }
@@ -328,6 +331,18 @@
         return to;
     }
 
+    RequestRateLimit decode(Decoder& in, const wire::RequestRateLimit& from)
+    {
+        RequestRateLimit to { in.id<EndpointId>(from.runner(), "rate_limit.runner"), from.started_at(), std::nullopt,
+            in.duration(from.age_us(), "rate_limit.age_us") };
+        if (!from.has_rate())
+            return to;
+        // Written so that NaN fails as well.
+        in.require(from.rate() >= 0 && std::isfinite(from.rate()), "a limit on requests is negative or infinite");
+        to.rate = RequestsPerSecond(from.rate());
+        return to;
+    }
+
     HostBeat decode(Decoder& in, const wire::HostBeat& from)
     {
         HostBeat to;
@@ -350,6 +365,7 @@
         in.require(from.suspicions_size() <= internal::maxRunnerLoads, "too many suspicions");
         in.require(from.leaving_runners_size() <= internal::maxRunnerLoads, "too many leaving runners");
         in.require(from.crashes_size() <= internal::maxCrashReports, "too many crash reports");
+        in.require(from.rate_limits_size() <= internal::maxRunnerLoads, "too many limits on requests");
         if (!in.status().ok())
             return to;
         for (const wire::DataCentreLoad& remote : from.remote())
@@ -364,6 +380,8 @@
         to.crashDigest = from.crash_digest();
         for (const wire::CrashReport& crash : from.crashes())
             to.crashes.push_back(decode(in, crash));
+        for (const wire::RequestRateLimit& limit : from.rate_limits())
+            to.rateLimits.push_back(decode(in, limit));
         to.runners = decode(in, from.runners());
         to.hosts = decode(in, from.hosts());
         return to;
--- a/packages/wire/fuchsialb/src/Wire/PeerMessageEncode.cpp
+++ b/packages/wire/fuchsialb/src/Wire/PeerMessageEncode.cpp
@@ -117,6 +117,7 @@
             added.set_cache(static_cast<float>(load.cache));
             added.set_sequences(static_cast<float>(load.sequences));
             added.set_first(static_cast<float>(load.firstStages));
+            added.set_demand(static_cast<float>(load.demand));
         }
     }
 
@@ -264,6 +265,14 @@
             to.set_crash_digest(from.crashDigest);
             for (const CrashReport& crash : from.crashes)
                 encodeCrash(crash, *to.add_crashes());
+            for (const RequestRateLimit& limit : from.rateLimits) {
+                wire::RequestRateLimit& added = *to.add_rate_limits();
+                added.set_runner(limit.runner.value());
+                added.set_started_at(limit.startedAt);
+                if (limit.rate)
+                    added.set_rate(limit.rate->value());
+                added.set_age_us(micros(limit.age));
+            }
             encodeDirectory(from.runners, *to.mutable_runners());
             encodeDirectory(from.hosts, *to.mutable_hosts());
         }
--- a/packages/wire/tests/support/PeerMessages.cpp
+++ b/packages/wire/tests/support/PeerMessages.cpp
@@ -47,7 +47,7 @@
         constexpr std::uint64_t exact = 1 << 20;
         for (std::uint64_t i = below(4); i > 0; --i)
             drawn[EndpointId(id(below))] = { static_cast<double>(below(exact)), static_cast<double>(below(exact)),
-                static_cast<double>(below(exact)) };
+                static_cast<double>(below(exact)), static_cast<double>(below(exact)) };
         return drawn;
     }
 
@@ -91,6 +91,13 @@
                     { PromptPartId(id(below)), below(2) == 1, static_cast<std::uint32_t>(below(32)) });
             drawn.crashes.push_back(std::move(report));
         }
+        for (std::uint64_t i = below(3); i > 0; --i) {
+            RequestRateLimit limit { EndpointId(id(below)), static_cast<std::int64_t>(below(anyNumber)), std::nullopt,
+                duration(below) };
+            if (below(2) == 1)
+                limit.rate = RequestsPerSecond(static_cast<double>(below(anyNumber)) / 16);
+            drawn.rateLimits.push_back(limit);
+        }
         drawn.runners = directory(below);
         drawn.hosts = directory(below);
         return drawn;
