Don't take an old answer's limit for a new one

Change: a response's notices are applied once, at its head, and a response changes only what was stated before its request was sent. Answers passed on are compared the same way. The rank of a host's requests is smoothed over ten seconds, so that urgent ones go first also where a host has one request a second.

--- a/packages/core/fuchsialb/src/Fleet/RequestRateAdmission.cpp
+++ b/packages/core/fuchsialb/src/Fleet/RequestRateAdmission.cpp
@@ -7,8 +7,6 @@
 
 namespace {
 
-    // Long enough to tell a rate of a few requests a second, short enough to follow a change within a second.
-    constexpr Duration smoothingTime = std::chrono::seconds(1);
     // Hosts learn late when the demand of others rises, so a part of the limit is left unused.
     constexpr double usedFraction = 0.9;
     // A runner tells only in its answers that its limit has ended, so each limit leaves room for some requests.
@@ -18,34 +16,23 @@
     // Demand of runners that are gone is dropped beyond this number.
     constexpr std::size_t maxRunners = 4096;
 
-    double perSecond(Duration duration) { return 1 / std::chrono::duration<double>(duration).count(); }
-
 } // namespace
 
 double RequestRateAdmission::Rate::at(TimePoint now) const
 {
-    const double age = std::chrono::duration<double>(now - m_updatedAt).count();
-    return m_rate * std::exp(-age * perSecond(smoothingTime));
+    return m_rate * std::exp(-std::chrono::duration<double>(now - m_updatedAt) / m_smoothingTime);
 }
 
 void RequestRateAdmission::Rate::record(TimePoint now)
 {
-    m_rate = at(now) + perSecond(smoothingTime);
+    m_rate = at(now) + 1 / std::chrono::duration<double>(m_smoothingTime).count();
     m_updatedAt = now;
 }
 
-double RequestRateAdmission::Demand::total(TimePoint now) const
-{
-    double sum = 0;
-    for (const Rate& rate : rates)
-        sum += rate.at(now);
-    return sum;
-}
-
 RequestsPerSecond RequestRateAdmission::demand(const EndpointId& runner, TimePoint now) const
 {
     const auto found = m_demand.find(runner);
-    return RequestsPerSecond(found == m_demand.end() ? 0 : found->second.total(now));
+    return RequestsPerSecond(found == m_demand.end() ? 0 : found->second.rate.at(now));
 }
 
 double RequestRateAdmission::fleetDemand(const Fleet& fleet, const EndpointId& runner, TimePoint now) const
@@ -59,15 +46,16 @@
     const Fleet& fleet, const EndpointId& runner, std::int64_t startedAt, std::uint32_t urgency, TimePoint now)
 {
     if (m_demand.size() > maxRunners)
-        std::erase_if(m_demand, [&](const auto& item) { return item.second.total(now) < minRate.value(); });
+        std::erase_if(m_demand, [&](const auto& item) { return item.second.rate.at(now) < minRate.value(); });
     const auto [found, isNew] = m_demand.try_emplace(runner);
     Demand& demand = found->second;
     if (isNew)
         demand.credit.fill(m_phase);
-    const std::size_t rank = std::min<std::size_t>(urgency, ranks - 1);
+    const std::size_t rank = std::min<std::size_t>(urgency, rankCount - 1);
     // The rate as it was before this request is the one that the other hosts see.
     const double wanted = fleetDemand(fleet, runner, now);
-    demand.rates[rank].record(now);
+    demand.rate.record(now);
+    demand.ranks[rank].record(now);
     const auto limit = fleet.limits.find(runner, startedAt);
     if (!limit)
         return true;
@@ -85,10 +73,12 @@
 double RequestRateAdmission::rankShare(const Demand& demand, std::size_t rank, double share, TimePoint now)
 {
     const double kept = keptFraction * share;
-    double available = (share - kept) * demand.total(now);
+    double available = 0;
+    for (const Rate& rate : demand.ranks)
+        available += (share - kept) * rate.at(now);
     for (std::size_t moreUrgent = 0; moreUrgent < rank; ++moreUrgent)
-        available -= std::min(available, (1 - kept) * demand.rates[moreUrgent].at(now));
-    return kept + std::min(1 - kept, available / demand.rates[rank].at(now));
+        available -= std::min(available, (1 - kept) * demand.ranks[moreUrgent].at(now));
+    return kept + std::min(1 - kept, available / demand.ranks[rank].at(now));
 }
 
 Duration RequestRateAdmission::backlog(
--- a/packages/core/fuchsialb/src/Fleet/RequestRateAdmission.h
+++ b/packages/core/fuchsialb/src/Fleet/RequestRateAdmission.h
@@ -43,25 +43,35 @@
     Duration backlog(const Fleet& fleet, const EndpointId& runner, std::int64_t startedAt, TimePoint now) const;
 
 private:
-    /// Rate of events, of which each counts less the longer ago it was.
+    /// Events a second, of which each counts less the longer ago it was.
     class Rate {
     public:
+        explicit Rate(Duration smoothingTime)
+            : m_smoothingTime(smoothingTime)
+        {
+        }
+
         double at(TimePoint now) const;
         void record(TimePoint now);
 
     private:
+        Duration m_smoothingTime;
         double m_rate = 0;
         TimePoint m_updatedAt {};
     };
 
-    static constexpr std::size_t ranks = 3;
+    static constexpr std::size_t rankCount = 3;
+
+    /// Follows a change of the demand within a second.
+    static constexpr Duration demandSmoothing { std::chrono::seconds(1) };
+    /// Tells how the requests of a host with few of them are divided between ranks.
+    static constexpr Duration rankSmoothing { std::chrono::seconds(10) };
 
     struct Demand {
-        std::array<Rate, ranks> rates;
+        Rate rate { demandSmoothing };
+        std::array<Rate, rankCount> ranks { Rate(rankSmoothing), Rate(rankSmoothing), Rate(rankSmoothing) };
         /// Fractions of a request that were admitted and not sent yet.
-        std::array<double, ranks> credit {};
-
-        double total(TimePoint now) const;
+        std::array<double, rankCount> credit {};
     };
 
     /// \return Requests a second that all hosts have for a runner.
--- a/packages/core/fuchsialb/src/Fleet/RequestRateLimits.cpp
+++ b/packages/core/fuchsialb/src/Fleet/RequestRateLimits.cpp
@@ -8,8 +8,8 @@
 
     // All hosts have heard of the end of a limit within this time.
     constexpr Duration endRelayTime = std::chrono::seconds(5);
-    // A statement that comes back from other hosts seems newer by the time it took on the way.
-    constexpr Duration relayTime = std::chrono::milliseconds(500);
+    // A statement that another host passes on seems newer by the time it took on the way.
+    constexpr Duration relayTime = std::chrono::milliseconds(200);
     // Those heard longest ago, mostly of runners that are gone, are dropped beyond this number.
     constexpr std::size_t maxStatements = 1024;
 
@@ -19,32 +19,47 @@
     std::optional<RequestsPerSecond> rate, TimePoint sentAt, TimePoint now)
 {
     const auto found = m_statements.find(runner);
-    const bool isKnown = found != m_statements.end();
-    if (isKnown && startedAt < found->second.startedAt)
+    if (found == m_statements.end()) {
+        if (rate)
+            put(runner, { startedAt, rate, now, now });
+        return rate.has_value();
+    }
+    Statement& known = found->second;
+    if (startedAt < known.startedAt)
         return false;
-    const std::optional<RequestsPerSecond> former = find(runner, startedAt);
-    if (!rate && (!former || sentAt <= found->second.heardAt))
+    const bool isSame = startedAt == known.startedAt && rate == known.rate;
+    const bool isOvertaken = startedAt == known.startedAt && sentAt <= known.heardAt;
+    if (isSame)
+        known.heardAt = std::max(known.heardAt, now);
+    if (isSame || isOvertaken)
         return false;
-    m_statements[runner] = { startedAt, rate, now };
-    removeOldest();
-    return former != rate;
+    const bool hasChanged = find(runner, startedAt) != rate;
+    put(runner, { startedAt, rate, now, now });
+    return hasChanged;
 }
 
 bool RequestRateLimits::recordRelayed(const RequestRateLimit& limit, TimePoint now)
 {
     const TimePoint heardAt = now - limit.age;
-    const auto found = m_statements.find(limit.runner);
-    if (found != m_statements.end()) {
-        const Statement& known = found->second;
-        const bool isOlder = limit.startedAt < known.startedAt
-            || (limit.startedAt == known.startedAt && heardAt <= known.heardAt + relayTime);
-        if (isOlder)
+    const std::optional<RequestsPerSecond> former = find(limit.runner, limit.startedAt);
+    if (const auto found = m_statements.find(limit.runner); found != m_statements.end()) {
+        Statement& known = found->second;
+        const bool isSameProcess = limit.startedAt == known.startedAt;
+        if (limit.startedAt < known.startedAt || (isSameProcess && heardAt <= known.heardAt + relayTime))
+            return false;
+        if (isSameProcess && limit.rate == known.rate) {
+            known.heardAt = heardAt;
             return false;
+        }
     }
-    const bool hasChanged = find(limit.runner, limit.startedAt) != limit.rate;
-    m_statements[limit.runner] = { limit.startedAt, limit.rate, heardAt };
+    put(limit.runner, { limit.startedAt, limit.rate, heardAt, now });
+    return former != limit.rate;
+}
+
+void RequestRateLimits::put(const EndpointId& runner, const Statement& statement)
+{
+    m_statements[runner] = statement;
     removeOldest();
-    return hasChanged;
 }
 
 std::optional<RequestsPerSecond> RequestRateLimits::find(const EndpointId& runner, std::int64_t startedAt) const
@@ -57,9 +72,9 @@
 {
     std::vector<RequestRateLimit> list;
     for (const auto& [runner, statement] : m_statements) {
-        const Duration age = std::max(Duration(0), now - statement.heardAt);
-        if (statement.rate || age < endRelayTime)
-            list.push_back({ runner, statement.startedAt, statement.rate, age });
+        if (statement.rate || now - statement.since < endRelayTime)
+            list.push_back(
+                { runner, statement.startedAt, statement.rate, std::max(Duration(0), now - statement.heardAt) });
     }
     return list;
 }
--- a/packages/core/fuchsialb/src/Fleet/RequestRateLimits.h
+++ b/packages/core/fuchsialb/src/Fleet/RequestRateLimits.h
@@ -32,8 +32,9 @@
 class RequestRateLimits {
 public:
     /// \brief Records what a response to a request of this host names.
-    /// \param sentAt When the request was sent. A response without a limit ends one that was named before that; later
-    ///     ones may have been overtaken by it.
+    /// \param sentAt When the request was sent. A response changes only what the runner stated before that, since it
+    /// may
+    ///     have been overtaken by the responses that arrived afterwards.
     /// \return Whether the limit has changed.
     bool recordResponse(const EndpointId& runner, std::int64_t startedAt, std::optional<RequestsPerSecond> rate,
         TimePoint sentAt, TimePoint now);
@@ -50,9 +51,13 @@
     struct Statement {
         std::int64_t startedAt = 0;
         std::optional<RequestsPerSecond> rate;
+        /// Arrival of the last response with this statement at any host.
         TimePoint heardAt {};
+        /// When this host learnt of it.
+        TimePoint since {};
     };
 
+    void put(const EndpointId& runner, const Statement& statement);
     void removeOldest();
 
     std::map<EndpointId, Statement> m_statements;
--- a/packages/core/tests/FleetRequestRateLimitsTest.cpp
+++ b/packages/core/tests/FleetRequestRateLimitsTest.cpp
@@ -42,6 +42,18 @@
             CHECK_FALSE(limits.recordRelayed({ runner, firstStart, five, 300ms }, now + 500ms));
             CHECK_FALSE(limits.find(runner, firstStart));
         }
+
+        SECTION("and a response to a request that was sent before doesn't either")
+        {
+            CHECK_FALSE(limits.recordResponse(runner, firstStart, five, now + 250ms, now + 400ms));
+            CHECK_FALSE(limits.find(runner, firstStart));
+        }
+
+        SECTION("until the runner names one again")
+        {
+            CHECK(limits.recordResponse(runner, firstStart, five, now + 350ms, now + 400ms));
+            CHECK(limits.find(runner, firstStart) == five);
+        }
     }
 
     SECTION("a response to a request that was sent before it was named doesn't, as it may have been overtaken")
--- a/packages/gateway/fuchsialb/src/Gateway/StreamCall.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/StreamCall.cpp
@@ -240,6 +240,7 @@
     m_stallDetector.emplace(StallDetector::Limits {}, now);
     m_stallControls.clear();
     m_sentAt = now;
+    m_noticesRecorded = false;
     if (m_runs == 1)
         m_startedAt = now;
     RunnerCall call;
@@ -291,12 +292,19 @@
     return handlers;
 }
 
+void StreamCall::recordNotices(const RunnerResponse& response, std::uint32_t status)
+{
+    // At the end of a long response, what its head told is out of date.
+    if (!std::exchange(m_noticesRecorded, true))
+        recordRunnerNotices(m_context, { m_path.front().runner, m_firstStartedAt }, response, status, m_sentAt);
+}
+
 bool StreamCall::handleHead(const HttpResponse& head)
 {
     const RunnerResponse runnerResponse = m_context.translator.runnerResponse(head);
     if (!isAuthentic(runnerResponse))
         return false;
-    recordRunnerNotices(m_context, { m_path.front().runner, m_firstStartedAt }, runnerResponse, head.status, m_sentAt);
+    recordNotices(runnerResponse, head.status);
     if (!m_head)
         m_head = head;
     return true;
@@ -345,8 +353,7 @@
 void StreamCall::handleResponse(HttpResponse response)
 {
     const RunnerResponse runnerResponse = m_context.translator.runnerResponse(response);
-    recordRunnerNotices(
-        m_context, { m_path.front().runner, m_firstStartedAt }, runnerResponse, response.status, m_sentAt);
+    recordNotices(runnerResponse, response.status);
     const bool succeeded = response.status >= 200 && response.status < 300;
     if (succeeded && isAuthentic(runnerResponse)) {
         // Without a length or chunks, the end of the connection is the end of the response, also of one that broke off.
--- a/packages/gateway/fuchsialb/src/Gateway/StreamCall.h
+++ b/packages/gateway/fuchsialb/src/Gateway/StreamCall.h
@@ -54,6 +54,8 @@
     HttpHandlers makeHandlers();
     /// \return Whether the response is authentic, so that its body is to be read.
     bool handleHead(const HttpResponse& head);
+    /// Applies what the runner says of itself in the response to the current run, once.
+    void recordNotices(const RunnerResponse& response, std::uint32_t status);
     void handlePiece(std::string_view piece);
     void forwardEvents(std::string text, TimePoint now);
     void handleResponse(HttpResponse response);
@@ -130,6 +132,7 @@
     std::int64_t m_firstStartedAt = 0;
     /// When the current run was sent.
     TimePoint m_sentAt {};
+    bool m_noticesRecorded = false;
     std::optional<HttpExchangeId> m_exchange;
     /// Incremented for each run, so that late callbacks of an earlier one are ignored.
     std::uint32_t m_runs = 0;
