Believe a refusal only if it belongs to the request

Callers could be told "not run, try again" for a request that runs, and such a request could be sent to a second endpoint. Cause: a refusal, or 421, was believed before the id in it was compared, and its notices (leaving, rest, limit) were applied. A runner that writes an earlier refusal once more thereby answers for the request in progress. Kept connections are used for idempotent requests only, but a faulty endpoint can do so on a new one as well. Change: the HTTP client asks, at the end of a head and whatever its status, whether the response belongs to the request; otherwise the exchange fails, with an unknown outcome, and its connection isn't used again, since the true response may still come there.

--- a/packages/gateway/fuchsialb/src/Gateway/Call.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/Call.cpp
@@ -72,6 +72,11 @@
     return runnerResponse.isSigned && !runnerResponse.encoded && runnerResponse.requestId == m_matched.request.id;
 }
 
+bool Call::isOwnResponse(const HttpResponse& response) const
+{
+    return m_context.translator.runnerResponse(response).requestId == m_matched.request.id;
+}
+
 Duration Call::retryAfterRest(Duration usual)
 {
     const TimePoint now = m_context.now();
--- a/packages/gateway/fuchsialb/src/Gateway/Call.h
+++ b/packages/gateway/fuchsialb/src/Gateway/Call.h
@@ -71,6 +71,8 @@
     void complete(std::uint32_t status);
     /// \return Whether the response is signed by the runner, unmodified and belongs to this request.
     bool isAuthentic(const RunnerResponse& runnerResponse) const;
+    /// \return Whether a response belongs to this request by its id, which runners echo in all responses.
+    bool isOwnResponse(const HttpResponse& response) const;
     /// \return Delay before the caller should retry if runners of the service that rest are needed: until the first of
     ///     them may be used again, or `usual` if none rests.
     Duration retryAfterRest(Duration usual);
--- a/packages/gateway/fuchsialb/src/Gateway/StreamCall.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/StreamCall.cpp
@@ -276,6 +276,7 @@
     const auto current
         = [self, run] { return !self->isFinished() && self->m_runs == run && self->m_exchange.has_value(); };
     HttpHandlers handlers;
+    handlers.isOwnResponse = [self](const HttpResponse& head) { return self->isOwnResponse(head); };
     handlers.onHead = [self, current](const HttpResponse& head) { return current() && self->handleHead(head); };
     handlers.onPiece = [self, current](std::string_view piece) {
         if (current())
--- a/packages/gateway/fuchsialb/src/Gateway/UnaryCall.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/UnaryCall.cpp
@@ -90,6 +90,7 @@
     const auto current
         = [self, run] { return !self->isFinished() && self->m_run == run && self->m_exchange.has_value(); };
     HttpHandlers handlers;
+    handlers.isOwnResponse = [self](const HttpResponse& head) { return self->isOwnResponse(head); };
     handlers.onResponse = [self, current](HttpResponse response) {
         if (current())
             self->handleResponse(std::move(response));
--- a/packages/net/fuchsialb/src/Net/CurlExchange.cpp
+++ b/packages/net/fuchsialb/src/Net/CurlExchange.cpp
@@ -208,12 +208,23 @@
         m_response.status = static_cast<std::uint32_t>(status);
         return true;
     }
+    if (trimmed(line).empty())
+        return isOwnResponse();
     const std::size_t colon = line.find(':');
     if (colon != std::string_view::npos)
         m_response.headers.emplace_back(lowerCase(line.substr(0, colon)), trimmed(line.substr(colon + 1)));
     return true;
 }
 
+bool CurlExchange::isOwnResponse()
+{
+    constexpr std::uint32_t firstFinalStatus = 200;
+    if (m_response.status < firstFinalStatus || !m_handlers.isOwnResponse || std::exchange(m_ownershipChecked, true))
+        return true;
+    m_isMismatched = !m_handlers.isOwnResponse(m_response);
+    return !m_isMismatched;
+}
+
 bool CurlExchange::takeBody(std::string_view piece)
 {
     m_lastArrival = SystemClock().now();
@@ -272,6 +283,8 @@
     case CURLE_ABORTED_BY_CALLBACK:
         return error(Reason::ConnectionLost, "a reused connection was closed after the request had been written");
     default:
+        if (m_isMismatched)
+            return error(Reason::EndpointFailed, "the response belongs to another request");
         if (m_tooLarge)
             return error(Reason::BodyTooLarge, "the response exceeds the client's limit");
         return error(Reason::ConnectionLost, detail);
--- a/packages/net/fuchsialb/src/Net/CurlExchange.h
+++ b/packages/net/fuchsialb/src/Net/CurlExchange.h
@@ -49,8 +49,10 @@
     void report(absl::Status status, bool refused = false);
     void setMethod();
     void setHeaders();
-    /// \return Whether the headers are within the limit.
+    /// \return Whether the headers are within the limit, and the response is the one to the request.
     bool takeHeaderLine(std::string_view line);
+    /// Called at the end of a head, also of that of an interim response and at the end of trailers.
+    bool isOwnResponse();
     bool mayCollect(std::size_t size) const;
     bool takeBody(std::string_view piece);
     bool mayBeSentAgain() const;
@@ -75,6 +77,8 @@
     std::size_t m_headerBytes = 0;
     bool m_tooLarge = false;
     bool m_headPassed = false;
+    bool m_ownershipChecked = false;
+    bool m_isMismatched = false;
 };
 
 } // namespace fuchsialb::internal
--- a/packages/net/fuchsialb/src/Net/HttpClient.h
+++ b/packages/net/fuchsialb/src/Net/HttpClient.h
@@ -47,8 +47,8 @@
 
 /// \brief How far an exchange got, for proofs that nothing ran.
 struct HttpFailure {
-    /// `ConnectFailed`, `ConnectionLost`, `ConnectionSilent`, `Timeout`, `Cancelled` or `BodyTooLarge`, which also
-    /// stands for headers without end.
+    /// `ConnectFailed`, `ConnectionLost`, `ConnectionSilent`, `Timeout`, `Cancelled`, `EndpointFailed` or
+    /// `BodyTooLarge`, which also stands for headers without end.
     absl::Status status;
     /// No byte of the request was written to a socket.
     bool notSent = false;
@@ -67,6 +67,9 @@
     std::function<void(HttpFailure failure)> onFailure {};
     /// Called once with status and headers before the first piece of a streamed body; false ends the exchange.
     std::function<bool(const HttpResponse& head)> onHead {};
+    /// Called once with status and headers, whatever the status; false means that the response isn't the one to this
+    /// request, and the exchange fails with `EndpointFailed`. Its connection isn't used again.
+    std::function<bool(const HttpResponse& head)> isOwnResponse {};
 };
 
 /// \brief HTTP/1.1 client over libcurl's multi interface, on a thread of its own or on an event loop that is given;
