Don't take an error for events, or for the end of a stream

Callers could find the head and text of an error in the middle of their stream, or a stream that ended as if it were complete. Cause: a second run that ended with its connection and without one event counted as complete when the first had sent some; and the lines of an error that a runner writes into a body, up to its empty line, counted as an event. Change: a response without a length or chunks says nothing of the end of a stream that an earlier run began. A line that is the first one of an HTTP response ends a run. An error as status and body of the next runner did no harm before either.

--- a/packages/gateway/fuchsialb/src/Gateway/EventSplitter.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/EventSplitter.cpp
@@ -28,6 +28,10 @@
 
 std::optional<EventSplitter::Event> EventSplitter::next()
 {
+    // A runner that fails in mid-stream may write its error into the body, whose head ends with an empty line as well.
+    constexpr std::string_view responseHead = "HTTP/1.";
+    if (m_isInvalid)
+        return std::nullopt;
     std::optional<std::uint64_t> id;
     std::size_t start = 0;
     bool hasField = false;
@@ -38,6 +42,10 @@
         const std::string_view line = stripCarriageReturn(std::string_view(m_buffer).substr(start, end - start));
         start = end + 1;
         if (!line.empty()) {
+            if (line.starts_with(responseHead)) {
+                m_isInvalid = true;
+                return std::nullopt;
+            }
             hasField = true;
             if (const auto parsedId = parseId(line))
                 id = parsedId;
--- a/packages/gateway/fuchsialb/src/Gateway/EventSplitter.h
+++ b/packages/gateway/fuchsialb/src/Gateway/EventSplitter.h
@@ -23,9 +23,13 @@
     /// \return Whether the buffer is not empty: once `next` has returned none, it holds an incomplete event.
     bool hasPartialEvent() const { return !m_buffer.empty(); }
     std::size_t bufferedSize() const { return m_buffer.size(); }
+    /// \return Whether the bytes aren't a stream of events: a line is the first one of an HTTP response. No
+    ///     further event is returned.
+    bool isInvalid() const { return m_isInvalid; }
 
 private:
     std::string m_buffer;
+    bool m_isInvalid = false;
 };
 
 } // namespace fuchsialb
--- a/packages/gateway/fuchsialb/src/Gateway/StreamCall.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/StreamCall.cpp
@@ -54,6 +54,13 @@
         return names;
     }
 
+    /// \return Whether the end of the response shows other than by the end of its connection.
+    bool isFramed(const HttpResponse& response)
+    {
+        return std::any_of(response.headers.begin(), response.headers.end(),
+            [](const auto& header) { return header.first == "content-length" || header.first == "transfer-encoding"; });
+    }
+
     std::string joined(const std::vector<PromptPartId>& parts)
     {
         std::string text;
@@ -236,7 +243,7 @@
     ++m_runs;
     m_runEvents = 0;
     m_splitter = {};
-    m_isOversized = false;
+    m_isInvalid = false;
     m_stallDetector.emplace(StallDetector::Limits {}, now);
     m_stallControls.clear();
     m_sentAt = now;
@@ -313,7 +320,7 @@
 
 void StreamCall::handlePiece(std::string_view piece)
 {
-    if (m_isOversized)
+    if (m_isInvalid)
         return;
     m_splitter.add(piece);
     const TimePoint now = m_context.now();
@@ -332,10 +339,11 @@
     // The caller may have left on the way.
     if (isFinished())
         return;
-    m_isOversized = m_splitter.bufferedSize() > maxEventBytes;
     // The exchange then fails, and with it the run.
-    if (m_isOversized)
+    if (m_splitter.isInvalid() || m_splitter.bufferedSize() > maxEventBytes) {
+        m_isInvalid = true;
         m_context.http.cancel(*m_exchange);
+    }
 }
 
 void StreamCall::forwardEvents(std::string text, TimePoint now)
@@ -358,7 +366,8 @@
     const bool succeeded = response.status >= 200 && response.status < 300;
     if (succeeded && isAuthentic(runnerResponse)) {
         // Without a length or chunks, the end of the connection is the end of the response, also of one that broke off.
-        const bool hasNoEvent = m_runEvents == 0 && !m_lastEventId;
+        // The end of a framed response also tells that no event follows the last one of an earlier run.
+        const bool hasNoEvent = m_runEvents == 0 && !(m_lastEventId && isFramed(response));
         if (m_splitter.hasPartialEvent() || hasNoEvent) {
             m_probation.recordBroken();
             recordFailure(m_path.front().runner, "event-cut", brokenStreamSuspension);
@@ -425,7 +434,7 @@
 {
     const EndpointId first = m_path.front().runner;
     const bool broken = isPathBroken(m_context.now());
-    const std::string_view cause = m_isOversized ? "event-too-large" : reasonName(reasonOf(failure.status));
+    const std::string_view cause = m_isInvalid ? "event-invalid" : reasonName(reasonOf(failure.status));
     releasePath();
     if (!failure.notSent)
         m_probation.recordBroken();
--- a/packages/gateway/fuchsialb/src/Gateway/StreamCall.h
+++ b/packages/gateway/fuchsialb/src/Gateway/StreamCall.h
@@ -143,7 +143,7 @@
     std::optional<std::uint64_t> m_lastEventId;
     EventSplitter m_splitter;
     /// The current run sends bytes that are no events, and is being cancelled.
-    bool m_isOversized = false;
+    bool m_isInvalid = false;
     std::optional<HttpResponse> m_head;
     /// Runners that refused the request or can't serve it.
     std::set<EndpointId> m_excluded;
