Pass on the limits of registered runners only

Cause: seen while reading the diff. Change: beats carry the limits of runners in the registry, without those of former processes.

--- a/packages/core/fuchsialb/src/Fleet/BeatExchange.cpp
+++ b/packages/core/fuchsialb/src/Fleet/BeatExchange.cpp
@@ -82,7 +82,7 @@
     addSuspicions(beat, distance(to), now);
     if (distance(to) != Distance::OtherDataCentre)
         beat.leavingRunners = m_state.runners.leavingAheadOfRegistry();
-    beat.rateLimits = m_state.rateLimits.statements(now);
+    beat.rateLimits = currentRateLimits(now);
     addDirectories(beat, peer, distance(to), now, bootNow);
     beat.crashDigest = peer.crashDigestSent = m_state.crashes.digest();
     if (peer.crashDigest != beat.crashDigest)
@@ -149,6 +149,16 @@
     }
 }
 
+std::vector<RequestRateLimit> BeatExchange::currentRateLimits(TimePoint now) const
+{
+    std::vector<RequestRateLimit> limits = m_state.rateLimits.statements(now);
+    std::erase_if(limits, [&](const RequestRateLimit& limit) {
+        const RunnerDirectory::Runner* runner = m_state.runners.find(limit.runner);
+        return !runner || limit.startedAt < runner->entry.startedAt;
+    });
+    return limits;
+}
+
 void BeatExchange::updateDemand(TimePoint now)
 {
     // Less is no demand, so that the load of a host without requests becomes empty.
--- a/packages/core/fuchsialb/src/Fleet/BeatExchange.h
+++ b/packages/core/fuchsialb/src/Fleet/BeatExchange.h
@@ -141,6 +141,8 @@
     void addSuspicions(HostBeat& beat, Distance to, TimePoint now) const;
     void receiveLeavingRunners(const HostId& from, const HostBeat& beat);
     void receiveRateLimits(const HostId& from, const HostBeat& beat, TimePoint now);
+    /// \return The limits on requests of the runners in the registry, without those of their former processes.
+    std::vector<RequestRateLimit> currentRateLimits(TimePoint now) const;
     /// Lets the load of this host tell its demand for the runners that have named a limit on requests.
     void updateDemand(TimePoint now);
     void receiveLoads(const HostId& from, HostBeat& beat, TimePoint now);
--- a/packages/core/tests/FleetRequestRateTest.cpp
+++ b/packages/core/tests/FleetRequestRateTest.cpp
@@ -25,6 +25,11 @@
         , m_limit(limit)
         , m_random(seed)
     {
+        RunnerEntry entry;
+        entry.id = runner;
+        entry.startedAt = startedAt;
+        for (const auto& host : m_hosts.hosts)
+            host->runners.put(entry);
     }
 
     /// Requests a second of each host by its index.
@@ -223,3 +228,36 @@
     CHECK(load.mostInFourSeconds(3s) <= allowed(2));
     CHECK(load.rate(4s, 12s) > 0.5);
 }
+
+// Guards against beats that grow with each runner that has ever named a limit.
+TEST_CASE("Limits of runners that are gone, or of their former processes, aren't passed on")
+{
+    Host from("a", "east");
+    Host to("b", "east");
+    const TimePoint now { 100s };
+    from.directory.put(to.registration(), now);
+    RunnerEntry entry;
+    entry.id = runner;
+    entry.startedAt = startedAt;
+    from.runners.put(entry);
+    from.rateLimits.recordResponse(runner, startedAt, RequestsPerSecond(5), now, now);
+    const auto limitsInBeat = [&](TimePoint at) {
+        const auto beats = from.beats.dueBeats(at, at.time_since_epoch(), false, "");
+        REQUIRE(beats.size() == 1);
+        return beats.front().beat.rateLimits.size();
+    };
+    CHECK(limitsInBeat(now) == 1);
+
+    SECTION("when the runner is gone")
+    {
+        from.runners.remove(runner);
+        CHECK(limitsInBeat(now + 1s) == 0);
+    }
+
+    SECTION("when it has started again")
+    {
+        entry.startedAt = startedAt + 1;
+        from.runners.put(entry);
+        CHECK(limitsInBeat(now + 1s) == 0);
+    }
+}
