--- a/packages/core/tests/FleetRequestRateTest.cpp
+++ b/packages/core/tests/FleetRequestRateTest.cpp
@@ -217,7 +217,7 @@
     CHECK(load.mostInFourSeconds(8s) <= allowed(6));
 }
 
-// Guards against a limit that is kept by few hosts only.
+// Guards against a share of each host that is too small to admit anything, or is rounded up at each of them.
 TEST_CASE("Hundreds of hosts with few requests each send a runner no more than it takes")
 {
     FleetDataCentre hosts(300);
