Add a case of a revoked key at a daemon that starts during a drill

Cause: a process without a configuration takes the first one that it reads as the newest, also right after the store came back from an older copy.

--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -158,6 +158,21 @@
             self.changes.append({"key": key, "revision": self.revision, "removed": True})
             self._notify()
 
+    def copy(self):
+        return {key: dict(item) for key, item in self.items.items()}, self.revision, dict(self.leases)
+
+    async def go_away(self):
+        """Ends all connections and answers nothing until `come_back`."""
+        await self.close()
+        await self.server.wait_closed()
+
+    async def come_back(self, copy):
+        """Answers again, from an older copy; revisions go back and the era rises."""
+        self.items, self.revision, self.leases = copy
+        self.changes = [change for change in self.changes if change["revision"] <= self.revision]
+        self.era += 1
+        await self.listen(self.port)
+
     def _end_leases(self):
         now = time.monotonic()
         for lease in [lease for lease, (_, end) in self.leases.items() if now >= end]:
