--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -7,6 +7,7 @@
 import json
 import os
 import pathlib
+import random
 import re
 import signal
 import socket
@@ -44,10 +45,23 @@
         print(text, flush=True)
 
 
+# Below the ports that the system gives to outgoing connections.
+PORTS = range(20000, 30000)
+_given_ports = set()
+
+
 def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    while True:
+        port = random.choice(PORTS)
+        if port in _given_ports:
+            continue
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        _given_ports.add(port)
+        return port
 
 
 async def read_message(reader):
