--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -4,6 +4,7 @@
 """
 import asyncio
 import base64
+import contextvars
 import json
 import os
 import pathlib
@@ -101,6 +102,17 @@
         self.port = 0
         self.server = None
         self.tasks = set()
+        # The caller of the current request where callers have addresses of their own.
+        self.caller = contextvars.ContextVar("caller", default="")
+
+    async def listen_for(self, caller):
+        """Serves one more address, which only `caller` uses. Returns it."""
+        async def serve(reader, writer):
+            self.caller.set(caller)
+            await self._serve(reader, writer)
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0, limit=1 << 20)
+        return f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
 
     async def listen(self, port=0):
         self.server = await asyncio.start_server(self._serve, "127.0.0.1", port, limit=1 << 20)
@@ -149,6 +161,8 @@
         self.last_lease = 0
         self.changed = asyncio.Event()
         self.era = 1
+        # Callers that get 503.
+        self.turned_away = set()
 
     def _notify(self):
         self.changed.set()
@@ -200,6 +214,8 @@
 
     async def handle(self, method, target, headers, body, writer):
         self._end_leases()
+        if self.caller.get() in self.turned_away:
+            return self._answer(writer, 503, {})
         url = urllib.parse.urlsplit(target)
         query = {name: values[0] for name, values in urllib.parse.parse_qs(url.query).items()}
         if url.path == "/v1/kv-range":
@@ -240,6 +256,8 @@
         end = time.monotonic() + wait
         while True:
             self._end_leases()
+            if self.caller.get() in self.turned_away:
+                return self._answer(writer, 503, {})
             if after > self.revision:
                 return self._answer(writer, 410, {})
             events = [c for c in self.changes if c["revision"] > after and c["key"].startswith(prefix)]
