Draw the ports of a daemon when it starts

Cause: a run of case 1 beside another case said that the rule held, though the new daemon had never started to serve: its ports had been drawn eleven seconds earlier and were taken.

--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -368,10 +368,11 @@
     def __init__(self, folder, record, name, zone, store_address):
         self.folder, self.record, self.name, self.zone = folder, record, name, zone
         self.store_address = store_address
-        self.front, self.ready, self.peer, self.metrics = (free_port() for _ in range(4))
+        self.front = self.ready = self.peer = self.metrics = 0
         self.process = None
 
     async def start(self):
+        self.front, self.ready, self.peer, self.metrics = (free_port() for _ in range(4))
         deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
         role = deploy["roles"]["router"]
         fields = {
