Let signals reach the thread of the event loop alone

Cause: no thread blocked the signals that the event loop handles, so the second one went to the thread of the peer transport; zmq::poll throws on EINTR there, and an exception that leaves a thread ends the process.

Change: all threads that the product starts block signals, ZeroMQ's included; the process blocks those that it handles until the loop runs and after it. Exceptions at the edges of the transport's thread and of the event loop are counted and logged.

Why: a thread that blocks a signal isn't interrupted by it.

--- a/packages/daemon/main.cpp
+++ b/packages/daemon/main.cpp
@@ -25,6 +25,7 @@
 /// Runs as a gateway on the users' platform, with the settings of a file.
 int runGateway(const std::string& file)
 {
+    const auto signals = fuchsialb::ScopedSignalMask::block(fuchsialb::Gateway::handledSignals);
     std::signal(SIGPIPE, SIG_IGN);
     const auto settings = fuchsialb::GatewaySettings::load(file);
     if (!settings.ok()) {
--- a/packages/gateway/fuchsialb/src/Gateway/Gateway.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/Gateway.cpp
@@ -7,6 +7,7 @@
 #include "RunnerNotices.h"
 #include "StoreSession.h"
 
+#include <absl/cleanup/cleanup.h>
 #include <asio/post.hpp>
 #include <asio/signal_set.hpp>
 #include <asio/steady_timer.hpp>
@@ -109,14 +110,16 @@
             LogLine line("started");
             line.add("host", m_settings.host.value()).add("data_centre", m_settings.dataCentre.value());
             m_log.log(line);
-            m_signals.add(SIGTERM);
-            m_signals.add(SIGINT);
-            m_signals.add(SIGHUP);
+            for (const int signal : handledSignals)
+                m_signals.add(signal);
             waitForSignal();
-            m_storeSession->start();
-            tick();
-            runMaintenance();
-            m_loop->run();
+            {
+                const auto signals = ScopedSignalMask::unblock(handledSignals);
+                m_storeSession->start();
+                repeat(m_requestTimer, requestTickPeriod, &SingleLoopGateway::tick);
+                repeat(m_maintenanceTimer, maintenancePeriod, &SingleLoopGateway::runMaintenance);
+                runLoop();
+            }
             m_log.log(LogLine("stopped").add("open_requests", static_cast<std::int64_t>(m_requests->openCount())));
             m_output.flush();
             return m_requests->openCount() == 0;
@@ -146,6 +149,19 @@
             reply.send({ probe ? (ready() ? 200U : 503U) : 404U, {}, "" });
         }
 
+        // An exception that left the loop would end the process with all its requests.
+        void runLoop()
+        {
+            while (!m_loop->stopped()) {
+                try {
+                    m_loop->run();
+                } catch (const std::exception& failure) {
+                    m_log.log(LogLine("handler-failed").add("cause", failure.what()));
+                    m_metrics.count("handler_failures", "source", "event-loop");
+                }
+            }
+        }
+
         void waitForSignal()
         {
             m_signals.async_wait([this](const asio::error_code& failure, int signal) {
@@ -169,23 +185,29 @@
             m_storeSession->unregisterHost();
         }
 
+        /// Calls an action now and again at an interval, also after an exception.
+        void repeat(asio::steady_timer& timer, Duration interval, void (SingleLoopGateway::*action)())
+        {
+            const absl::Cleanup next = [this, &timer, interval, action] {
+                timer.expires_after(interval);
+                timer.async_wait([this, &timer, interval, action](const asio::error_code& failure) {
+                    if (!failure)
+                        repeat(timer, interval, action);
+                });
+            };
+            (this->*action)();
+        }
+
         void tick()
         {
             m_requests->tick();
             m_output.flush();
-            if (m_context->stopping) {
-                const Duration elapsed = m_clock.now() - m_context->stoppingSince;
-                if ((m_requests->openCount() == 0 && elapsed >= minStopDuration)
-                    || elapsed >= m_settings.stopGrace - stopGraceMargin) {
-                    m_loop->stop();
-                    return;
-                }
-            }
-            m_requestTimer.expires_after(requestTickPeriod);
-            m_requestTimer.async_wait([this](const asio::error_code& failure) {
-                if (!failure)
-                    tick();
-            });
+            if (!m_context->stopping)
+                return;
+            const Duration elapsed = m_clock.now() - m_context->stoppingSince;
+            if ((m_requests->openCount() == 0 && elapsed >= minStopDuration)
+                || elapsed >= m_settings.stopGrace - stopGraceMargin)
+                m_loop->stop();
         }
 
         void runMaintenance()
@@ -196,11 +218,6 @@
             m_metrics.set("open_requests", static_cast<double>(m_requests->openCount()));
             m_metrics.set("waiting_requests", static_cast<double>(m_context->admissionQueue.size()));
             m_metrics.set("runners", static_cast<double>(m_context->runners.runners().size()));
-            m_maintenanceTimer.expires_after(maintenancePeriod);
-            m_maintenanceTimer.async_wait([this](const asio::error_code& failure) {
-                if (!failure)
-                    runMaintenance();
-            });
         }
 
         GatewaySettings m_settings;
--- a/packages/gateway/fuchsialb/src/Gateway/Gateway.h
+++ b/packages/gateway/fuchsialb/src/Gateway/Gateway.h
@@ -5,7 +5,9 @@
 
 #include <absl/status/statusor.h>
 
+#include <csignal>
 #include <functional>
+#include <initializer_list>
 #include <memory>
 
 namespace fuchsialb {
@@ -27,6 +29,10 @@
 
     virtual ~Gateway() = default;
 
+    /// Signals that `run` handles, on its thread. A process should block them before it creates a gateway, so that none
+    /// ends it before or after `run`.
+    static constexpr std::initializer_list<int> handledSignals { SIGTERM, SIGINT, SIGHUP };
+
     /// Serves until SIGTERM or SIGINT, then until the open requests have finished or the grace time is over.
     /// \return Whether all requests have finished.
     virtual bool run() = 0;
--- a/packages/net/fuchsialb/src/Net/AsioCurlClient.cpp
+++ b/packages/net/fuchsialb/src/Net/AsioCurlClient.cpp
@@ -1,5 +1,6 @@
 #include "AsioCurlClient.h"
 
+#include <absl/cleanup/cleanup.h>
 #include <asio/post.hpp>
 
 #include <sys/socket.h>
@@ -170,8 +171,6 @@
             if (!*alive || failure == asio::error::operation_aborted || !(socket->wanted & direction))
                 return;
             act(handle, failure ? CURL_CSELECT_ERR : direction == CURL_POLL_IN ? CURL_CSELECT_IN : CURL_CSELECT_OUT);
-            if (*alive)
-                wait(socket, handle);
         });
 }
 
@@ -189,6 +188,11 @@
     return 0;
 }
 
+            // Also after a handler that throws, since the other exchanges go on.
+            const absl::Cleanup next = [this, alive, socket, handle] {
+                if (*alive)
+                    wait(socket, handle);
+            };
 void AsioCurlClient::act(curl_socket_t handle, int events)
 {
     int running = 0;
--- a/packages/net/fuchsialb/src/Net/HttpClient.cpp
+++ b/packages/net/fuchsialb/src/Net/HttpClient.cpp
@@ -2,6 +2,7 @@
 
 #include "AsioCurlClient.h"
 #include "CurlExchange.h"
+#include "ScopedSignalMask.h"
 #include "SystemClock.h"
 
 #include <atomic>
@@ -55,6 +56,7 @@
                 return false;
             m_thread = std::thread([this] { loop(); });
             return true;
+            const auto signals = ScopedSignalMask::blockAll();
         }
 
         absl::StatusOr<HttpExchangeId> start(HttpRequest request, HttpHandlers handlers) override
--- a/packages/net/fuchsialb/src/Net/HttpServer.cpp
+++ b/packages/net/fuchsialb/src/Net/HttpServer.cpp
@@ -1,6 +1,7 @@
 #include "HttpServer.h"
 
 #include "RestinioConnections.h"
+#include "ScopedSignalMask.h"
 
 #include <algorithm>
 #include <cctype>
@@ -127,6 +128,7 @@
                 return absl::OkStatus();
             m_thread = std::thread([this] {
                 const auto work = asio::make_work_guard(*m_context);
+            const auto signals = ScopedSignalMask::blockAll();
                 m_context->run();
             });
             return absl::OkStatus();
--- a/packages/net/fuchsialb/src/Net/PeerTransport.cpp
+++ b/packages/net/fuchsialb/src/Net/PeerTransport.cpp
@@ -2,6 +2,7 @@
 
 #include "ReplayWindow.h"
 #include "Ring.h"
+#include "ScopedSignalMask.h"
 
 #include <zmq.hpp>
 
@@ -10,6 +11,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <cerrno>
 #include <deque>
 #include <map>
 #include <mutex>
@@ -155,17 +157,38 @@
         void run()
         {
             while (!m_stop) {
-                waitForWork();
-                zmq::message_t wakeMessage;
-                if (m_wakeReceiver.recv(wakeMessage, zmq::recv_flags::dontwait))
-                    m_woken = false;
-                sendQueued();
-                receive();
-                flushPeers();
+                try {
+                    turn();
+                } catch (const std::exception& failure) {
+                    handleError(failure);
+                }
             }
             m_peers.clear();
         }
 
+        void turn()
+        {
+            waitForWork();
+            zmq::message_t wakeMessage;
+            if (m_wakeReceiver.recv(wakeMessage, zmq::recv_flags::dontwait))
+                m_woken = false;
+            sendQueued();
+            receive();
+            flushPeers();
+        }
+
+        // An exception that left the thread would end the process with all its requests.
+        void handleError(const std::exception& failure)
+        {
+            const auto* socketError = dynamic_cast<const zmq::error_t*>(&failure);
+            // Also a stopped and continued process may find its system calls interrupted.
+            if (socketError && socketError->num() == EINTR)
+                return;
+            m_onDropped(error(Reason::Internal, failure.what()));
+            // Bounds the rate of errors that don't pass.
+            std::this_thread::sleep_for(housekeepingInterval);
+        }
+
         void waitForWork()
         {
             std::vector<zmq::pollitem_t> items {
@@ -292,7 +315,8 @@
                 // The first part is the identity that the ROUTER socket gave the connection.
                 int parts = 1;
                 while (part.more()) {
-                    static_cast<void>(m_router.recv(part, zmq::recv_flags::none));
+                    // The parts of a message arrive together.
+                    static_cast<void>(m_router.recv(part, zmq::recv_flags::dontwait));
                     ++parts;
                 }
                 m_bytesReceived += part.size();
@@ -352,6 +376,8 @@
     const std::string address = options.bindAddress;
     if (!isNumericAddress(address))
         return error(Reason::InvalidFlag, fmt::format("peer address '{}' is not IP:port", address));
+    // For the thread of the transport and those of ZeroMQ, which start with the first socket.
+    const auto signals = ScopedSignalMask::blockAll();
     try {
         auto transport
             = std::make_unique<ZmqPeerTransport>(std::move(options), std::move(onMessage), std::move(onDropped));
--- a/packages/net/tests/PeerTransportTest.cpp
+++ b/packages/net/tests/PeerTransportTest.cpp
@@ -5,8 +5,13 @@
 #include <catch2/catch.hpp>
 #include <zmq.hpp>
 
+#include <unistd.h>
+
+#include <atomic>
 #include <condition_variable>
+#include <csignal>
 #include <mutex>
+#include <thread>
 
 using namespace fuchsialb;
 using namespace std::chrono_literals;
@@ -289,3 +294,38 @@
         CHECK(window.accept(HostId("b"), Incarnation(1), 1));
     }
 }
+
+namespace {
+
+std::atomic<int> s_signalsHandled = 0;
+
+} // namespace
+
+// Guards against a process that ends since a signal interrupts the transport's thread.
+TEST_CASE("Signals to the process don't interrupt the thread of a transport")
+{
+    struct sigaction handler { };
+    handler.sa_handler = [](int) { ++s_signalsHandled; };
+    struct sigaction previous { };
+    REQUIRE(sigaction(SIGUSR2, &handler, &previous) == 0);
+    Host a("a");
+    Host b("b");
+    // From now on the threads of the transports are the only ones that could take the signal.
+    const auto blocked = ScopedSignalMask::block({ SIGUSR2 });
+    constexpr std::uint32_t count = 50;
+
+    SECTION("messages arrive beside signals, which wait for a thread that handles them")
+    {
+        for (std::uint32_t i = 0; i < count; ++i) {
+            REQUIRE(kill(getpid(), SIGUSR2) == 0);
+            REQUIRE(a.transport->send(HostId("b"), b.address(), numbered(i)));
+            std::this_thread::sleep_for(2ms);
+        }
+        CHECK(b.awaitReceived(count));
+        CHECK(s_signalsHandled == 0);
+        const auto unblocked = ScopedSignalMask::unblock({ SIGUSR2 });
+        CHECK(s_signalsHandled == 1);
+    }
+
+    REQUIRE(sigaction(SIGUSR2, &previous, nullptr) == 0);
+}
