Read the configuration in time while its readers are turned away

Cause: who watches was decided by life alone, and the others read by themselves only when their last proof was 3 s old, whatever the bound, and not at all where keys need no proof.

Change: the age at which a host reads by itself, and the timeout of the watches whose proofs keep it below, follow from bounds in the settings, for the configuration and the registry. Beats say that the store turns their sender away, and the next host watches in its place. When to read is decided in the core, with the time passed in.

Why: 1,600 ms of age, 100 ms to the next check and one call are less than the bound, whatever has become of the readers.

--- a/packages/core/fuchsialb/src/Fleet/BeatExchange.cpp
+++ b/packages/core/fuchsialb/src/Fleet/BeatExchange.cpp
@@ -69,6 +69,7 @@
     beat.dataCentre = m_state.dataCentre;
     beat.address = m_state.address;
     beat.leaving = leaving;
+    beat.storeLost = m_state.storeReach.isLost(bootNow);
     beat.cells = m_state.hosts.cells();
     beat.configuration = m_state.configuration.version();
     beat.proofAge = std::max(Duration(0), bootNow - m_state.configuration.provenAt());
@@ -348,6 +349,7 @@
     peer.crashDigest = beat.crashDigest;
     m_state.crashes.merge(beat.crashes, now);
     m_state.hosts.recordBeat({ from, beat.dataCentre, beat.address }, beat.leaving, beat.cellLeader, now);
+    m_state.hosts.recordStoreReach(from, beat.storeLost);
     receiveLoads(from, beat, now);
     receiveRateLimits(from, beat, now);
     if (m_state.hosts.isLocal(from)) {
--- a/packages/core/fuchsialb/src/Fleet/BeatExchange.h
+++ b/packages/core/fuchsialb/src/Fleet/BeatExchange.h
@@ -8,6 +8,7 @@
 #include "HostDirectory.h"
 #include "RequestRateAdmission.h"
 #include "RunnerDirectory.h"
+#include "StoreReach.h"
 
 #include <array>
 #include <functional>
@@ -51,6 +52,7 @@
         CrashEvidence& crashes;
         RequestRateLimits& rateLimits;
         const RequestRateAdmission& rateAdmission;
+        const StoreReach& storeReach;
     };
 
     /// Called with what another host has passed on.
--- a/packages/core/fuchsialb/src/Fleet/HostBeat.h
+++ b/packages/core/fuchsialb/src/Fleet/HostBeat.h
@@ -55,6 +55,8 @@
     /// Load from the sender; in a beat to another cell, from all hosts of the sender's cell; in a beat to another data
     /// centre, from all hosts of the sender's data centre.
     LoadTable load;
+    /// The store doesn't answer the sender's calls.
+    bool storeLost = false;
     /// The sender leads its cell.
     bool cellLeader = false;
     /// Load from the other cells of the data centre; empty unless the leader of a cell sends it to its cell.
--- a/packages/core/fuchsialb/src/Fleet/HostDirectory.cpp
+++ b/packages/core/fuchsialb/src/Fleet/HostDirectory.cpp
@@ -74,6 +74,12 @@
     updateCells();
 }
 
+void HostDirectory::recordStoreReach(const HostId& host, bool isLost)
+{
+    if (const auto found = m_hosts.find(host); found != m_hosts.end())
+        found->second.storeLost = isLost;
+}
+
 void HostDirectory::expire(TimePoint now)
 {
     const std::size_t removed = std::erase_if(m_hosts, [&](const auto& item) {
@@ -173,14 +179,21 @@
 }
 
 bool HostDirectory::readsStore(TimePoint now) const
+{
+    constexpr std::ptrdiff_t readers = 2;
+    return isAmongReaders(readers, now);
+}
+
+bool HostDirectory::readsStoreFirst(TimePoint now) const { return isAmongReaders(1, now); }
+
+bool HostDirectory::isAmongReaders(std::ptrdiff_t readers, TimePoint now) const
 {
     // A host knows which hosts of its cell live, and the leader of a cell which other ones lead.
     if (m_leaving || (m_cells > 1 && !leadsCell(now)))
         return false;
-    constexpr std::ptrdiff_t readers = 2;
     const auto lower = std::count_if(m_hosts.begin(), m_hosts.end(), [&](const auto& item) {
         const Host& host = item.second;
-        return item.first < m_self && host.registration.dataCentre == m_dataCentre && !host.leaving
+        return item.first < m_self && host.registration.dataCentre == m_dataCentre && !host.leaving && !host.storeLost
             && alive(item.first, now) && (m_cells == 1 || host.leadsCell);
     });
     return lower < readers;
--- a/packages/core/fuchsialb/src/Fleet/HostDirectory.h
+++ b/packages/core/fuchsialb/src/Fleet/HostDirectory.h
@@ -3,6 +3,7 @@
 #include "../Base/Clock.h"
 #include "../Base/Ids.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -46,6 +47,8 @@
     /// \param leaving The host shuts down.
     /// \param leadsCell The host says that it leads its cell.
     void recordBeat(const RegisteredHost& host, bool leaving, bool leadsCell, TimePoint now);
+    /// Records whether the store answers the calls of a host, as its beat says.
+    void recordStoreReach(const HostId& host, bool isLost);
     /// Records whether this host shuts down; it then leads only if there is no other live host.
     void setLeaving(bool leaving) { m_leaving = leaving; }
     /// Records a beat from the leader of another data centre, received directly or through a host of this one.
@@ -60,6 +63,7 @@
         bool registered = false;
         bool leaving = false;
         bool leadsCell = false;
+        bool storeLost = false;
         TimePoint addedAt {};
         TimePoint unregisteredAt {};
         TimePoint lastBeatAt {};
@@ -89,8 +93,11 @@
     HostId leader(TimePoint now) const;
     bool isLeader(TimePoint now) const { return leader(now) == m_self; }
     /// \brief Whether this host watches the store for its data centre: the leader and, so that changes are known
-    ///     without delay while that one is cut off or has just ended, the next one.
+    ///     without delay while that one is cut off or has just ended, the next one. Those that the store turns away
+    ///     don't count, so that others take their place.
     bool readsStore(TimePoint now) const;
+    /// \return Whether this host is the first one of those that watch the store.
+    bool readsStoreFirst(TimePoint now) const;
     /// \return Whether this host is the leader of the live data centre with the lowest id. Hosts that don't hear each
     ///     other may both be.
     bool leadsFleet(TimePoint now) const;
@@ -108,6 +115,8 @@
 
 private:
     void updateCells();
+    /// \return Whether this host is one of the first `readers` that may watch the store.
+    bool isAmongReaders(std::ptrdiff_t readers, TimePoint now) const;
     /// \return The lowest id among this host and the known hosts that `eligible` accepts, live and not leaving.
     HostId lowestLive(const std::function<bool(const Host&)>& eligible, TimePoint now) const;
 
--- a/packages/core/tests/support/FleetDataCentre.cpp
+++ b/packages/core/tests/support/FleetDataCentre.cpp
@@ -39,7 +39,8 @@
             ++messages[outgoing.to];
             Host& to = *m_byId.at(outgoing.to);
             if (const auto update = to.beats.receive(from->id, outgoing.beat, now))
-                static_cast<void>(to.configuration.accept(table(9), update->provenAt));
+                static_cast<void>(
+                    to.configuration.accept(table(outgoing.beat.configuration.value()), update->provenAt));
         }
         copies += copiesAtOnce;
         mostCopiesAtOnce = std::max(mostCopiesAtOnce, copiesAtOnce);
--- a/packages/core/tests/support/FleetDataCentre.h
+++ b/packages/core/tests/support/FleetDataCentre.h
@@ -26,6 +26,7 @@
     CrashEvidence crashes;
     RequestRateLimits rateLimits;
     RequestRateAdmission rateAdmission;
+    StoreReach storeReach;
     /// Keys of the registry that other hosts have passed on, with their last values.
     std::map<std::string, std::string> registry;
     BeatExchange beats;
@@ -36,7 +37,7 @@
         , directory(id, dataCentre)
         , rateAdmission(static_cast<double>(hash64(name) % 1000) / 1000)
         , beats({ id, dataCentre, std::string(name) + ":1", directory, ledger, runners, configuration, runnersView,
-                    hostsView, crashes, rateLimits, rateAdmission },
+                    hostsView, crashes, rateLimits, rateAdmission, storeReach },
               { [this](const HostId&, const DirectoryUpdate& update) {
                    for (const KeyItem& change : update.changes)
                        registry[change.key] = change.value;
@@ -63,7 +64,7 @@
     explicit FleetDataCentre(std::size_t count);
 
     /// Delivers the beats that are due between living hosts and advances the time by 100 ms. A host that gets the text
-    /// of a configuration accepts it as version 9.
+    /// of a configuration accepts it as the version of the sender.
     void step();
     /// Ends a host without notice.
     void kill(const HostId& id) { m_dead.insert(id); }
--- a/packages/gateway/fuchsialb/src/Gateway/GatewayContext.h
+++ b/packages/gateway/fuchsialb/src/Gateway/GatewayContext.h
@@ -44,6 +44,8 @@
     /// Positions of this host's views of the registry of runners and of the list of hosts.
     DirectoryView runnersView {};
     DirectoryView hostsView {};
+    /// Whether the store answers this host.
+    StoreReach storeReach {};
     /// Its bound is far above the period of ticks, and below the pause after which a runner is asked for its state.
     HostPauseDetector hostPause { std::chrono::milliseconds(250) };
     /// Called for a runner that starts to drain or was removed from the registry.
--- a/packages/gateway/fuchsialb/src/Gateway/GatewaySettings.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/GatewaySettings.cpp
@@ -106,6 +106,8 @@
     settings.storeAddress = reader.address("store").text();
     if (reader.flag("keys_need_proof", false))
         settings.keyTrust = reader.milliseconds("key_trust_ms", std::chrono::seconds(5));
+    settings.configurationBound = reader.milliseconds("configuration_bound_ms", settings.configurationBound);
+    settings.registryBound = reader.milliseconds("registry_bound_ms", settings.registryBound);
     settings.stopGrace = reader.seconds("stop_grace_s", settings.stopGrace);
     settings.retryRatio = reader.number("repeat_ratio", settings.retryRatio);
     settings.retryWindow = reader.seconds("repeat_window_s", settings.retryWindow);
--- a/packages/gateway/fuchsialb/src/Gateway/GatewaySettings.h
+++ b/packages/gateway/fuchsialb/src/Gateway/GatewaySettings.h
@@ -22,6 +22,10 @@
     std::string storeAddress;
     /// How long API keys are accepted after the configuration was last confirmed as the newest; 0 for no limit.
     Duration keyTrust { 0 };
+    /// Longest time from a change of the configuration until this host applies it, if it reaches the store.
+    Duration configurationBound { std::chrono::seconds(2) };
+    /// Longest time from the removal or draining of a runner until this host stops to use it, if it reaches the store.
+    Duration registryBound { std::chrono::seconds(2) };
     /// Time between SIGTERM and the end of the process.
     Duration stopGrace { std::chrono::seconds(8) };
     /// Retries allowed for each request of this host, over a sliding window.
--- a/packages/gateway/fuchsialb/src/Gateway/PeerExchange.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/PeerExchange.cpp
@@ -10,7 +10,7 @@
     : m_context(context)
     , m_beats({ context.settings.host, context.settings.dataCentre, context.settings.peerAddress.text(), context.hosts,
                   context.ledger, context.runners, context.configuration, context.runnersView, context.hostsView,
-                  context.crashEvidence, context.rateLimits, context.rateAdmission },
+                  context.crashEvidence, context.rateLimits, context.rateAdmission, context.storeReach },
           std::move(hooks))
 {
 }
--- a/packages/gateway/fuchsialb/src/Gateway/PrefixWatcher.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/PrefixWatcher.cpp
@@ -170,6 +170,8 @@
 
 void PrefixWatcher::handleListing(absl::StatusOr<KeyListing> listing, Duration sentAt)
 {
+    if (m_onCall)
+        m_onCall(listing.status());
     if (!listing.ok()) {
         onFailure(listing.status());
         return;
@@ -198,6 +200,8 @@
 
 void PrefixWatcher::handleChanges(absl::StatusOr<KeyListing> listing, Duration sentAt, Duration timeout)
 {
+    if (m_onCall)
+        m_onCall(listing.status());
     if (!listing.ok()) {
         onFailure(listing.status());
         return;
--- a/packages/gateway/fuchsialb/src/Gateway/PrefixWatcher.h
+++ b/packages/gateway/fuchsialb/src/Gateway/PrefixWatcher.h
@@ -43,6 +43,8 @@
     void retryNow();
     /// Sets the callback for the first successful call after a failure.
     void setOnRecovered(std::function<void()> onRecovered) { m_onRecovered = std::move(onRecovered); }
+    /// Sets the callback for the end of each call, with its status.
+    void setOnCall(std::function<void(const absl::Status& status)> onCall) { m_onCall = std::move(onCall); }
 
 private:
     void list(ReadFreshness freshness);
@@ -71,6 +73,7 @@
     Options m_options;
     OnItems m_onItems;
     std::function<void()> m_onRecovered;
+    std::function<void(const absl::Status& status)> m_onCall;
     asio::steady_timer m_timer;
     KeyVersion m_asOf;
     StoreEra m_era;
--- a/packages/gateway/fuchsialb/src/Gateway/StoreSession.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/StoreSession.cpp
@@ -23,26 +23,17 @@
     // Store key of the secret that authenticates messages between hosts; the first host to write it sets it for all.
     constexpr std::string_view sharedKeyPath = "fuchsialb/hosts/.key";
     constexpr int sharedKeyWordCount = 4;
-    // Watches of the hosts that read the store for a data centre. Their timeouts prove that the views are the newest,
-    // which beats tell the others. A timeout and the time of the proof through the leaders of cells must add up to less
-    // than the age at which all hosts read by themselves.
-    constexpr Duration leaderConfigurationWatchTimeout = std::chrono::milliseconds(1500);
-    constexpr Duration configurationWatchTimeout = std::chrono::seconds(5);
-    constexpr Duration runnersWatchTimeout = std::chrono::milliseconds(1000);
+    // The second host that watches the configuration takes over from the first one; its proofs aren't needed.
+    constexpr Duration secondWatchTimeout = std::chrono::seconds(5);
     constexpr Duration hostsWatchTimeout = std::chrono::seconds(8);
-    // Ages of views at which a host that hears of no newer proof reads the store by itself. That of the registry is
-    // shorter than the time in which hosts must have stopped to use a runner that leaves.
-    constexpr Duration maxRunnersAge = std::chrono::milliseconds(1700);
     constexpr Duration maxHostsAge = std::chrono::seconds(11);
-    // A proof takes this much longer through the leaders of cells.
+    // Runners may end without notice, so the registry isn't left to get older than this, whatever its bound allows.
+    constexpr Duration maxRunnersWatchTimeout = std::chrono::milliseconds(1000);
+    constexpr Duration maxRunnersAge = std::chrono::milliseconds(1700);
+    // Proofs take this much longer through the leaders of cells.
     constexpr Duration cellRelayTime = std::chrono::milliseconds(500);
-    constexpr Duration proofRefreshAge = std::chrono::milliseconds(3000);
-    constexpr Duration proofRetryDelay = std::chrono::milliseconds(1000);
     // When the store comes back from an older copy, what the operator has written is there again after this time.
     constexpr Duration rewriteTime = std::chrono::milliseconds(2200);
-    // A host that hears of a newer configuration reads a copy that may be outdated, and after this time the newest one.
-    constexpr Duration staleReadTime = std::chrono::milliseconds(250);
-
 } // namespace
 
 StoreSession::StoreSession(GatewayContext& context, OnSharedKey onSharedKey)
@@ -51,21 +42,23 @@
     , m_configuration(context,
           { "configuration", context.translator.configurationKey(),
               [this] {
-                  return m_context.hosts.isLeader(m_context.now()) ? leaderConfigurationWatchTimeout
-                                                                   : configurationWatchTimeout;
+                  return m_context.hosts.readsStoreFirst(m_context.now()) ? configurationSchedule().watchTimeout
+                                                                          : secondWatchTimeout;
               },
               std::chrono::milliseconds(50), [this] { return readsStore() || !m_context.configuration.known(); } },
           [this](const KeyListing& listing, bool snapshot, Duration provenAt) {
               applyConfiguration(listing, snapshot, provenAt);
           })
     , m_runners(context,
-          { "runners", context.translator.runnersPrefix(), [] { return runnersWatchTimeout; },
-              std::chrono::milliseconds(500), [this] { return needsWatch(m_context.runnersView, maxRunnersAge); },
-              &context.runnersView, ReadFreshness::MayBeStale },
+          { "runners", context.translator.runnersPrefix(), [this] { return registrySchedule().watchTimeout; },
+              std::chrono::milliseconds(500),
+              [this] { return needsWatch(m_context.runnersView, registrySchedule().maxAge); }, &context.runnersView,
+              ReadFreshness::MayBeStale },
           [this](const KeyListing& listing, bool snapshot, Duration) { applyRunners(listing, snapshot); })
     , m_hosts(context,
           { "hosts", std::string(hostsPrefix), [] { return hostsWatchTimeout; }, std::chrono::milliseconds(1500),
-              [this] { return needsWatch(m_context.hostsView, maxHostsAge); }, &context.hostsView },
+              [this] { return needsWatch(m_context.hostsView, maxHostsAge + relayTimeOfCells()); },
+              &context.hostsView },
           [this](const KeyListing& listing, bool snapshot, Duration) { applyHosts(listing, snapshot); })
     , m_renewalTimer(context.loop)
 {
@@ -73,16 +66,31 @@
         for (PrefixWatcher* watcher : { &m_configuration, &m_runners, &m_hosts })
             watcher->retryNow();
     };
-    for (PrefixWatcher* watcher : { &m_configuration, &m_runners, &m_hosts })
+    for (PrefixWatcher* watcher : { &m_configuration, &m_runners, &m_hosts }) {
         watcher->setOnRecovered(retryAll);
+        watcher->setOnCall([this](const absl::Status& status) { recordStoreCall(status); });
+    }
 }
 
 bool StoreSession::readsStore() const { return m_context.hosts.readsStore(m_context.now()); }
 
-bool StoreSession::needsWatch(const DirectoryView& view, Duration ageLimit) const
+Duration StoreSession::relayTimeOfCells() const { return m_context.hosts.cells() > 1 ? cellRelayTime : Duration(0); }
+
+ReadSchedule StoreSession::configurationSchedule() const
 {
-    const Duration limit = ageLimit + (m_context.hosts.cells() > 1 ? cellRelayTime : Duration(0));
-    return readsStore() || !view.isRecent(bootTime(), limit);
+    return ReadSchedule::forBound(m_context.settings.configurationBound, m_context.hosts.cells());
+}
+
+ReadSchedule StoreSession::registrySchedule() const
+{
+    const ReadSchedule schedule = ReadSchedule::forBound(m_context.settings.registryBound, m_context.hosts.cells());
+    return { std::min<Duration>(schedule.watchTimeout, maxRunnersWatchTimeout),
+        std::min<Duration>(schedule.maxAge, maxRunnersAge + relayTimeOfCells()) };
+}
+
+bool StoreSession::needsWatch(const DirectoryView& view, Duration maxAge) const
+{
+    return readsStore() || !view.isRecent(bootTime(), maxAge);
 }
 
 void StoreSession::tick(ConfigurationVersion heard)
@@ -91,46 +99,50 @@
         watcher->tick();
     removeMissingRunners();
     offerSharedKey();
-    const Duration now = bootTime();
-    if (m_configurationRequested || !m_context.configuration.known())
-        return;
-    if (heard > m_context.configuration.version()) {
-        if (heard > m_versionSought) {
-            m_versionSought = heard;
-            m_soughtAt = now;
-            readConfiguration(ReadFreshness::MayBeStale);
-        } else if (now - m_soughtAt >= staleReadTime && now >= m_nextProofAt) {
-            readConfiguration(ReadFreshness::Newest);
-        }
-        return;
-    }
-    if (m_context.settings.keyTrust == Duration::zero() || now - m_context.configuration.provenAt() < proofRefreshAge
-        || now < m_nextProofAt)
-        return;
-    readConfiguration(ReadFreshness::Newest);
+    const ConfigurationRead read
+        = m_refresh.next(m_context.configuration, heard, configurationSchedule().maxAge, bootTime());
+    if (read != ConfigurationRead::None)
+        readConfiguration(read);
 }
 
-void StoreSession::readConfiguration(ReadFreshness freshness)
+void StoreSession::readConfiguration(ConfigurationRead read)
 {
-    m_configurationRequested = true;
     m_context.metrics.count("store_calls", "kind", "read-configuration");
-    m_context.store.list(m_context.translator.configurationKey(), freshness,
-        [this, freshness, sentAt = bootTime()](absl::StatusOr<KeyListing> listing) {
-            m_configurationRequested = false;
-            if (freshness == ReadFreshness::Newest)
-                m_nextProofAt = bootTime() + proofRetryDelay;
-            // A copy that may be outdated proves nothing.
-            if (listing.ok())
-                applyConfiguration(
-                    *listing, true, freshness == ReadFreshness::Newest ? std::optional(sentAt) : std::nullopt);
+    const bool isNewest = read == ConfigurationRead::Newest;
+    m_context.store.list(m_context.translator.configurationKey(),
+        isNewest ? ReadFreshness::Newest : ReadFreshness::MayBeStale,
+        [this, read, isNewest, sentAt = bootTime()](const absl::StatusOr<KeyListing>& listing) {
+            const Duration now = bootTime();
+            m_refresh.recordEnd(read, now);
             LogLine line("configuration-read");
             line.add("status", reasonName(reasonOf(listing.status())));
-            line.add("newest", freshness == ReadFreshness::Newest ? 1 : 0);
+            line.add("newest", isNewest ? 1 : 0);
+            const Duration proofAge = now - m_context.configuration.provenAt();
+            line.add("proof_age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(proofAge).count());
+            // A copy that may be outdated proves nothing.
+            if (listing.ok())
+                applyConfiguration(*listing, true, isNewest ? std::optional(sentAt) : std::nullopt);
+            recordStoreCall(listing.status());
             line.add("version", static_cast<std::int64_t>(m_context.configuration.version().value()));
             m_context.log.log(line);
         });
 }
 
+void StoreSession::recordStoreCall(const absl::Status& status)
+{
+    const Duration now = bootTime();
+    const bool wasLost = m_context.storeReach.isLost(now);
+    // A store that no longer keeps the requested changes has answered.
+    if (status.ok() || reasonOf(status) == Reason::StoreBehind)
+        m_context.storeReach.recordSuccess();
+    else
+        m_context.storeReach.recordFailure(now);
+    if (wasLost != m_context.storeReach.isLost(now))
+        m_context.log.log(LogLine(wasLost ? "store-answers" : "store-turns-away")
+                              .add("reads", readsStore() ? 1 : 0)
+                              .add("status", reasonName(reasonOf(status))));
+}
+
 void StoreSession::receiveRunners(const HostId& from, const DirectoryUpdate& update)
 {
     logDirectoryUpdate(
--- a/packages/gateway/fuchsialb/src/Gateway/StoreSession.h
+++ b/packages/gateway/fuchsialb/src/Gateway/StoreSession.h
@@ -46,10 +46,15 @@
     std::string hostKey() const;
     void offerSharedKey();
     /// Reads the configuration once, without a watch.
-    void readConfiguration(ReadFreshness freshness);
+    void readConfiguration(ConfigurationRead read);
+    /// Records whether the store has answered a call.
+    void recordStoreCall(const absl::Status& status);
     bool readsStore() const;
     /// \return Whether this host has to read a prefix by itself: for its data centre, or as its view has got old.
-    bool needsWatch(const DirectoryView& view, Duration ageLimit) const;
+    bool needsWatch(const DirectoryView& view, Duration maxAge) const;
+    ReadSchedule configurationSchedule() const;
+    ReadSchedule registrySchedule() const;
+    Duration relayTimeOfCells() const;
 
     GatewayContext& m_context;
     OnSharedKey m_onSharedKey;
@@ -66,11 +71,7 @@
     Duration m_eraSeenAt { 0 };
     LeaseId m_lease;
     bool m_unregistered = false;
-    bool m_configurationRequested = false;
-    Duration m_nextProofAt { 0 };
-    /// Newest version that another host had when this host last read the configuration because of it.
-    ConfigurationVersion m_versionSought;
-    Duration m_soughtAt { 0 };
+    ConfigurationRefresh m_refresh;
 };
 
 } // namespace fuchsialb
--- a/packages/wire/fuchsialb/src/Wire/PeerMessageDecode.cpp
+++ b/packages/wire/fuchsialb/src/Wire/PeerMessageDecode.cpp
@@ -360,6 +360,7 @@
         // Hosts of a build without cells don't tell a number.
         to.cells = std::max(1U, from.cells());
         to.cellLeader = from.cell_leader();
+        to.storeLost = from.store_lost();
         to.otherCells = decodeLoads(in, from.other_cells());
         in.require(from.remote_size() <= internal::maxRemoteLoads, "too many data centres");
         in.require(from.suspicions_size() <= internal::maxRunnerLoads, "too many suspicions");
--- a/packages/wire/fuchsialb/src/Wire/PeerMessageEncode.cpp
+++ b/packages/wire/fuchsialb/src/Wire/PeerMessageEncode.cpp
@@ -246,6 +246,7 @@
             encodeLoads(from.load, *to.mutable_load());
             to.set_cells(from.cells);
             to.set_cell_leader(from.cellLeader);
+            to.set_store_lost(from.storeLost);
             encodeLoads(from.otherCells, *to.mutable_other_cells());
             for (const DataCentreLoad& remote : from.remote) {
                 wire::DataCentreLoad& added = *to.add_remote();
--- a/packages/wire/tests/support/PeerMessages.cpp
+++ b/packages/wire/tests/support/PeerMessages.cpp
@@ -75,6 +75,7 @@
         drawn.load = loads(below);
         drawn.cells = 1 + static_cast<std::uint32_t>(below(64));
         drawn.cellLeader = below(2) == 1;
+        drawn.storeLost = below(2) == 1;
         drawn.otherCells = loads(below);
         for (std::uint64_t i = below(3); i > 0; --i)
             drawn.remote.push_back({ DataCentreId(id(below)), loads(below) });
