Take a response for whole only if its framing says so

Cause: curl's success was taken for a whole response. To curl, the end of a connection also ends a head; of several lengths it takes one; and it uses a kept connection again while bytes wait on it, so that a part of a late copy became the head of the next response.

Change: a response counts once the empty line of its head has arrived and its body is as long as the head says; heads that contradict themselves, hold a name that is none or a status line end the exchange; a kept connection is used only while it has nothing to read; fields after the body are no part of the response. An exception of a handler no longer passes through curl.

--- a/packages/net/fuchsialb/src/Net/AsioCurlClient.cpp
+++ b/packages/net/fuchsialb/src/Net/AsioCurlClient.cpp
@@ -56,8 +56,8 @@
     if (m_exchanges.size() >= m_options.capacity)
         return error(Reason::QueueFull, "the HTTP client has no room for another exchange");
     const HttpExchangeId id(++m_lastId);
-    auto exchange
-        = std::make_unique<CurlExchange>(id, std::move(request), std::move(handlers), m_options.maxBody, m_bodies);
+    auto exchange = std::make_unique<CurlExchange>(
+        id, std::move(request), std::move(handlers), m_options.maxBody, m_bodies, m_connections);
     bool added = exchange->prepare();
     if (added) {
         curl_easy_setopt(exchange->handle(), CURLOPT_OPENSOCKETFUNCTION, &AsioCurlClient::openSocket);
@@ -168,6 +168,7 @@
     socket->descriptor.async_wait(
         type, [this, alive = m_alive, socket, handle, direction](const asio::error_code& failure) {
             socket->waiting &= ~direction;
+    client.m_connections.remove(handle);
             if (!*alive || failure == asio::error::operation_aborted || !(socket->wanted & direction))
                 return;
             act(handle, failure ? CURL_CSELECT_ERR : direction == CURL_POLL_IN ? CURL_CSELECT_IN : CURL_CSELECT_OUT);
@@ -213,7 +214,10 @@
         curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &pointer);
         auto node = m_exchanges.extract(reinterpret_cast<CurlExchange*>(pointer)->id());
         curl_multi_remove_handle(m_multi, node.mapped()->handle());
-        node.mapped()->finish(code);
+        if (node.mapped()->restart() && curl_multi_add_handle(m_multi, node.mapped()->handle()) == CURLM_OK)
+            m_exchanges.insert(std::move(node));
+        else
+            node.mapped()->finish(code);
     }
 }
 
--- a/packages/net/fuchsialb/src/Net/AsioCurlClient.h
+++ b/packages/net/fuchsialb/src/Net/AsioCurlClient.h
@@ -63,6 +63,7 @@
     CURLM* m_multi;
     std::shared_ptr<BodyBudget> m_bodies;
     std::map<curl_socket_t, std::shared_ptr<Socket>> m_sockets;
+    KeptConnections m_connections;
     std::map<HttpExchangeId, std::unique_ptr<CurlExchange>> m_exchanges;
     std::uint64_t m_lastId = 0;
     /// curl is at work and calls back; exchanges must not be removed meanwhile.
--- a/packages/net/fuchsialb/src/Net/CurlExchange.cpp
+++ b/packages/net/fuchsialb/src/Net/CurlExchange.cpp
@@ -31,15 +31,14 @@
     // An exchange that has collected less than this share of the budget is not the one that exhausts it.
     constexpr std::size_t bodyBudgetShare = 16;
 
-    int watchForSilentPeer(void*, curl_socket_t socket, curlsocktype)
+    bool watchForSilentPeer(curl_socket_t socket)
     {
         const auto set = [socket](int level, int option, int value) {
             return ::setsockopt(socket, level, option, &value, sizeof(value)) == 0;
         };
-        const bool taken = set(SOL_SOCKET, SO_KEEPALIVE, 1) && set(IPPROTO_TCP, TCP_KEEPIDLE, probeIdleSeconds)
+        return set(SOL_SOCKET, SO_KEEPALIVE, 1) && set(IPPROTO_TCP, TCP_KEEPIDLE, probeIdleSeconds)
             && set(IPPROTO_TCP, TCP_KEEPINTVL, probeIntervalSeconds) && set(IPPROTO_TCP, TCP_KEEPCNT, probeCount)
             && set(IPPROTO_TCP, TCP_USER_TIMEOUT, silentPeerMilliseconds);
-        return taken ? CURL_SOCKOPT_OK : CURL_SOCKOPT_ERROR;
     }
 
     long milliseconds(Duration duration)
@@ -64,6 +63,30 @@
         return text.substr(first, text.find_last_not_of(" \t\r\n") - first + 1);
     }
 
+    /// \return Whether a name consists of the characters of a token (RFC 9110, section 5.6.2).
+    bool isFieldName(std::string_view name)
+    {
+        constexpr std::string_view marks = "!#$%&'*+-.^_`|~";
+        return !name.empty() && std::all_of(name.begin(), name.end(), [&](unsigned char c) {
+            return std::isalnum(c) || marks.find(static_cast<char>(c)) != std::string_view::npos;
+        });
+    }
+
+    /// \return Whether a line goes over into the first line of a response: it is the end of an earlier one that broke
+    ///     off.
+    bool containsStatusLine(std::string_view line)
+    {
+        constexpr std::string_view version = "HTTP/1.";
+        constexpr std::size_t statusOffset = version.size() + 2;
+        for (std::size_t at = line.find(version); at != std::string_view::npos; at = line.find(version, at + 1)) {
+            const std::string_view status = line.substr(std::min(line.size(), at + statusOffset), 3);
+            if (status.size() == 3
+                && std::all_of(status.begin(), status.end(), [](unsigned char c) { return std::isdigit(c); }))
+                return true;
+        }
+        return false;
+    }
+
     /// Control characters are dropped, so that a value can't add a header line.
     std::string headerLine(const std::string& name, const std::string& value)
     {
@@ -74,8 +97,8 @@
 
 } // namespace
 
-CurlExchange::CurlExchange(
-    HttpExchangeId id, HttpRequest request, HttpHandlers handlers, Bytes maxBody, std::shared_ptr<BodyBudget> bodies)
+CurlExchange::CurlExchange(HttpExchangeId id, HttpRequest request, HttpHandlers handlers, Bytes maxBody,
+    std::shared_ptr<BodyBudget> bodies, KeptConnections& connections)
     : m_id(id)
     , m_request(std::move(request))
     , m_handlers(std::move(handlers))
@@ -83,6 +106,7 @@
     , m_easy(curl_easy_init())
     , m_lastArrival(SystemClock().now())
     , m_bodies(std::move(bodies))
+    , m_connections(connections)
 {
 }
 
@@ -110,7 +134,8 @@
     set(CURLOPT_PROTOCOLS_STR, "http");
     set(CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
     set(CURLOPT_MAXAGE_CONN, maxIdleSeconds);
-    set(CURLOPT_SOCKOPTFUNCTION, &watchForSilentPeer);
+    set(CURLOPT_SOCKOPTFUNCTION, &CurlExchange::socketOpened);
+    set(CURLOPT_SOCKOPTDATA, this);
     set(CURLOPT_CONNECTTIMEOUT_MS, milliseconds(m_request.connectTimeout));
     set(CURLOPT_TIMEOUT_MS, milliseconds(m_request.timeout));
     set(CURLOPT_HEADERFUNCTION, &CurlExchange::receiveHeader);
@@ -167,22 +192,51 @@
 
 std::size_t CurlExchange::receiveHeader(char* data, std::size_t size, std::size_t count, void* self)
 {
-    return static_cast<CurlExchange*>(self)->takeHeaderLine({ data, size * count }) ? size * count : 0;
+    auto& exchange = *static_cast<CurlExchange*>(self);
+    const std::string_view line(data, size * count);
+    return exchange.callHandlers([&] { return exchange.takeHeaderLine(line); }) ? size * count : 0;
 }
 
 std::size_t CurlExchange::receiveBody(char* data, std::size_t size, std::size_t count, void* self)
 {
-    return static_cast<CurlExchange*>(self)->takeBody({ data, size * count }) ? size * count : 0;
+    auto& exchange = *static_cast<CurlExchange*>(self);
+    const std::string_view piece(data, size * count);
+    return exchange.callHandlers([&] { return exchange.takeBody(piece); }) ? size * count : 0;
 }
 
-int CurlExchange::beforeRequest(void* self, char*, char*, int, int)
+template <typename Callback> bool CurlExchange::callHandlers(Callback callback)
+{
+    // An exception must not pass through curl, which would keep the state of an unfinished call.
+    try {
+        return callback();
+    } catch (const std::exception&) {
+        m_hasHandlerFailed = true;
+        return false;
+    }
+}
+
+int CurlExchange::socketOpened(void* self, curl_socket_t socket, curlsocktype)
+{
+    static_cast<CurlExchange*>(self)->m_openedSocket = socket;
+    return watchForSilentPeer(socket) ? CURL_SOCKOPT_OK : CURL_SOCKOPT_ERROR;
+}
+
+int CurlExchange::beforeRequest(void* self, char* remoteAddress, char* localAddress, int remotePort, int localPort)
 {
     // curl repeats a request by itself when a reused connection turns out to be closed. The peer may have read and
     // run the first one, so a repetition is allowed only when it can't do harm.
     auto& exchange = *static_cast<CurlExchange*>(self);
+    KeptConnections::Ends ends { remoteAddress, localAddress, remotePort, localPort };
+    const curl_socket_t opened = std::exchange(exchange.m_openedSocket, CURL_SOCKET_BAD);
+    exchange.m_hasStrayInput = opened == CURL_SOCKET_BAD && exchange.m_connections.hasInput(ends);
+    if (exchange.m_hasStrayInput)
+        return CURL_PREREQFUNC_ABORT;
+    if (opened != CURL_SOCKET_BAD)
+        exchange.m_connections.add(std::move(ends), opened);
     if (exchange.m_sends > 0 && !exchange.mayBeSentAgain())
         return CURL_PREREQFUNC_ABORT;
     ++exchange.m_sends;
+    exchange.m_isHeadOpen = false;
     return CURL_PREREQFUNC_OK;
 }
 
@@ -201,33 +255,58 @@
         m_tooLarge = true;
         return false;
     }
-    if (line.starts_with("HTTP/")) {
-        m_response.headers.clear();
-        long status = 0;
-        curl_easy_getinfo(m_easy, CURLINFO_RESPONSE_CODE, &status);
-        m_response.status = static_cast<std::uint32_t>(status);
+    if (line.starts_with("HTTP/"))
+        return beginHead();
+    // Fields after the body have no part in how a response is taken.
+    if (m_isHeadComplete)
+        return true;
+    if (line == "\r\n" || line == "\n")
+        return endHead();
+    // The last line of a connection that was closed inside the head; the head stays incomplete.
+    if (!line.ends_with('\n'))
         return true;
-    }
-    if (trimmed(line).empty())
-        return isOwnResponse();
     const std::size_t colon = line.find(':');
-    if (colon != std::string_view::npos)
-        m_response.headers.emplace_back(lowerCase(line.substr(0, colon)), trimmed(line.substr(colon + 1)));
+    const std::string name = lowerCase(line.substr(0, std::min(colon, line.size())));
+    m_isMalformed = colon == std::string_view::npos || !isFieldName(name) || containsStatusLine(line)
+        || !m_framing.addField(name, trimmed(line.substr(colon + 1)));
+    if (!m_isMalformed)
+        m_response.headers.emplace_back(name, trimmed(line.substr(colon + 1)));
+    return !m_isMalformed;
+}
+
+bool CurlExchange::beginHead()
+{
+    // curl takes a status line inside a head, or after the body, for one more head.
+    m_isMalformed = m_isHeadOpen || m_isHeadComplete;
+    if (m_isMalformed)
+        return false;
+    m_isHeadOpen = true;
+    m_framing = {};
+    m_response.headers.clear();
+    long status = 0;
+    curl_easy_getinfo(m_easy, CURLINFO_RESPONSE_CODE, &status);
+    m_response.status = static_cast<std::uint32_t>(status);
     return true;
 }
 
-bool CurlExchange::isOwnResponse()
+bool CurlExchange::endHead()
 {
     constexpr std::uint32_t firstFinalStatus = 200;
-    if (m_response.status < firstFinalStatus || !m_handlers.isOwnResponse || std::exchange(m_ownershipChecked, true))
-        return true;
-    m_isMismatched = !m_handlers.isOwnResponse(m_response);
+    m_isHeadOpen = false;
+    m_isHeadComplete = m_response.status >= firstFinalStatus;
+    return !m_isHeadComplete || isOwnResponse();
+}
+
+bool CurlExchange::isOwnResponse()
+{
+    m_isMismatched = m_handlers.isOwnResponse && !m_handlers.isOwnResponse(m_response);
     return !m_isMismatched;
 }
 
 bool CurlExchange::takeBody(std::string_view piece)
 {
     m_lastArrival = SystemClock().now();
+    m_bodyBytes += piece.size();
     const bool succeeded = m_response.status >= 200 && m_response.status < 300;
     if (m_handlers.onPiece && succeeded) {
         if (m_handlers.onHead && !std::exchange(m_headPassed, true) && !m_handlers.onHead(m_response))
@@ -244,6 +323,15 @@
     return true;
 }
 
+bool CurlExchange::isWhole() const
+{
+    constexpr std::uint32_t noContent = 204;
+    constexpr std::uint32_t notModified = 304;
+    const bool hasNoBody
+        = m_request.method == "HEAD" || m_response.status == noContent || m_response.status == notModified;
+    return hasNoBody || m_bodyBytes == m_framing.contentLength().value_or(m_bodyBytes);
+}
+
 bool CurlExchange::mayCollect(std::size_t size) const
 {
     if (m_response.body.size() + size > m_maxBody)
@@ -283,18 +371,34 @@
     case CURLE_ABORTED_BY_CALLBACK:
         return error(Reason::ConnectionLost, "a reused connection was closed after the request had been written");
     default:
+        if (m_hasHandlerFailed)
+            return error(Reason::Internal, "the handler of the response failed");
         if (m_isMismatched)
             return error(Reason::EndpointFailed, "the response belongs to another request");
+        if (m_isMalformed)
+            return error(Reason::EndpointFailed, "the head of the response is malformed");
         if (m_tooLarge)
             return error(Reason::BodyTooLarge, "the response exceeds the client's limit");
         return error(Reason::ConnectionLost, detail);
     }
 }
 
+bool CurlExchange::restart()
+{
+    if (!std::exchange(m_hasStrayInput, false))
+        return false;
+    return curl_easy_setopt(m_easy, CURLOPT_FRESH_CONNECT, 1L) == CURLE_OK;
+}
+
 void CurlExchange::finish(CURLcode code)
 {
+    // To curl, the end of the connection also ends a head, and with it a response without a body.
     if (code != CURLE_OK)
         report(statusOf(code), code == CURLE_COULDNT_CONNECT && wasRefused());
+    else if (!m_isHeadComplete)
+        report(error(Reason::ConnectionLost, "the connection was closed inside the head of the response"));
+    else if (!isWhole())
+        report(error(Reason::ConnectionLost, "the body of the response is not as long as its head says"));
     else if (m_handlers.onResponse)
         m_handlers.onResponse(std::move(m_response));
 }
--- a/packages/net/fuchsialb/src/Net/CurlExchange.h
+++ b/packages/net/fuchsialb/src/Net/CurlExchange.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "BodyFraming.h"
 #include "HttpClient.h"
+#include "KeptConnections.h"
 
 #include <curl/curl.h>
 
@@ -20,7 +22,7 @@
 class CurlExchange {
 public:
     CurlExchange(HttpExchangeId id, HttpRequest request, HttpHandlers handlers, Bytes maxBody,
-        std::shared_ptr<BodyBudget> bodies);
+        std::shared_ptr<BodyBudget> bodies, KeptConnections& connections);
     ~CurlExchange();
 
     CurlExchange(const CurlExchange&) = delete;
@@ -36,6 +38,9 @@
     /// \return Whether nothing has arrived for the request's silence timeout.
     bool isSilent(TimePoint now) const;
 
+    /// \brief Prepares the transfer to be started anew on a connection of its own.
+    /// \return Whether it ended before anything was sent, since its kept connection can't be used again.
+    bool restart();
     /// Reports the end of the transfer to the handlers.
     void finish(CURLcode code);
     /// Reports an end that curl did not decide.
@@ -44,15 +49,21 @@
 private:
     static std::size_t receiveHeader(char* data, std::size_t size, std::size_t count, void* self);
     static std::size_t receiveBody(char* data, std::size_t size, std::size_t count, void* self);
+    static int socketOpened(void* self, curl_socket_t socket, curlsocktype purpose);
     static int beforeRequest(void* self, char* remoteAddress, char* localAddress, int remotePort, int localPort);
 
     void report(absl::Status status, bool refused = false);
     void setMethod();
     void setHeaders();
-    /// \return Whether the headers are within the limit, and the response is the one to the request.
+    /// \return What `callback` returns, or false if it throws.
+    template <typename Callback> bool callHandlers(Callback callback);
+    /// \return Whether the head is well-formed and within the limit, and the response is the one to the request.
     bool takeHeaderLine(std::string_view line);
-    /// Called at the end of a head, also of that of an interim response and at the end of trailers.
+    bool beginHead();
+    bool endHead();
     bool isOwnResponse();
+    /// \return Whether the body is as long as the head says.
+    bool isWhole() const;
     bool mayCollect(std::size_t size) const;
     bool takeBody(std::string_view piece);
     bool mayBeSentAgain() const;
@@ -72,13 +83,24 @@
     TimePoint m_lastArrival;
     std::uint32_t m_sends = 0;
     std::shared_ptr<BodyBudget> m_bodies;
+    KeptConnections& m_connections;
+    /// The socket that was opened for the next request.
+    curl_socket_t m_openedSocket = CURL_SOCKET_BAD;
+    bool m_hasStrayInput = false;
     /// What this exchange uses of the budget.
     std::size_t m_collected = 0;
     std::size_t m_headerBytes = 0;
     bool m_tooLarge = false;
+    BodyFraming m_framing;
+    std::uint64_t m_bodyBytes = 0;
+    /// A status line has arrived, and the empty line after its fields hasn't.
+    bool m_isHeadOpen = false;
+    /// The head of the final response has arrived up to its empty line.
+    bool m_isHeadComplete = false;
     bool m_headPassed = false;
-    bool m_ownershipChecked = false;
     bool m_isMismatched = false;
+    bool m_isMalformed = false;
+    bool m_hasHandlerFailed = false;
 };
 
 } // namespace fuchsialb::internal
--- a/packages/net/fuchsialb/src/Net/HttpClient.cpp
+++ b/packages/net/fuchsialb/src/Net/HttpClient.cpp
@@ -5,6 +5,8 @@
 #include "ScopedSignalMask.h"
 #include "SystemClock.h"
 
+#include <unistd.h>
+
 #include <atomic>
 #include <map>
 #include <mutex>
@@ -71,7 +73,7 @@
                 ++m_pending;
                 id = HttpExchangeId(++m_lastId);
                 m_commands.emplace_back(std::make_unique<internal::CurlExchange>(
-                    id, std::move(request), std::move(handlers), m_options.maxBody, m_bodies));
+                    id, std::move(request), std::move(handlers), m_options.maxBody, m_bodies, m_connections));
             }
             curl_multi_wakeup(m_multi);
             return id;
@@ -128,7 +130,10 @@
             internal::CurlExchange& started = *exchange;
             m_silenceLimited += started.limitsSilence() ? 1 : 0;
             m_exchanges.emplace(started.id(), std::move(exchange));
-            if (!started.prepare() || curl_multi_add_handle(m_multi, started.handle()) != CURLM_OK)
+            const bool isPrepared = started.prepare();
+            curl_easy_setopt(started.handle(), CURLOPT_CLOSESOCKETFUNCTION, &CurlClient::closeSocket);
+            curl_easy_setopt(started.handle(), CURLOPT_CLOSESOCKETDATA, this);
+            if (!isPrepared || curl_multi_add_handle(m_multi, started.handle()) != CURLM_OK)
                 failExchange(started.id(), Reason::InvalidInput, "the request can't be expressed in HTTP");
         }
 
@@ -142,7 +147,12 @@
                 char* pointer = nullptr;
                 curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &pointer);
                 const auto id = reinterpret_cast<internal::CurlExchange*>(pointer)->id();
-                if (const Exchange exchange = remove(id))
+                Exchange exchange = remove(id);
+                if (!exchange)
+                    continue;
+                if (exchange->restart())
+                    restartExchange(std::move(exchange), code);
+                else
                     exchange->finish(code);
             }
         }
@@ -155,6 +165,24 @@
             std::vector<HttpExchangeId> silent;
             for (const auto& [id, exchange] : m_exchanges) {
                 if (exchange->isSilent(now))
+        void restartExchange(Exchange exchange, CURLcode code)
+        {
+            if (curl_multi_add_handle(m_multi, exchange->handle()) != CURLM_OK) {
+                exchange->finish(code);
+                return;
+            }
+            const std::lock_guard lock(m_mutex);
+            ++m_pending;
+            m_silenceLimited += exchange->limitsSilence() ? 1 : 0;
+            m_exchanges.emplace(exchange->id(), std::move(exchange));
+        }
+
+        static int closeSocket(void* self, curl_socket_t socket)
+        {
+            static_cast<CurlClient*>(self)->m_connections.remove(socket);
+            return ::close(socket);
+        }
+
                     silent.push_back(id);
             }
             for (const HttpExchangeId& id : silent)
@@ -218,6 +246,7 @@
     if (!client->run())
         return error(Reason::Internal, "curl could not be initialised");
     return client;
+        internal::KeptConnections m_connections;
 }
 
 absl::StatusOr<std::unique_ptr<HttpClient>> HttpClient::create(Options options, asio::io_context& context)
--- a/packages/net/tests/ResponseFramingTest.cpp
+++ b/packages/net/tests/ResponseFramingTest.cpp
@@ -3,6 +3,9 @@
 
 #include <fmt/format.h>
 
+#include <chrono>
+#include <thread>
+
 using namespace fuchsialb;
 using namespace fuchsialb::test;
 
@@ -67,6 +70,129 @@
     }
 }
 
+// Guards against an empty response with status 200 that an endpoint didn't give: it stopped inside its head.
+SCENARIO("a response whose head breaks off is lost, wherever it breaks off")
+{
+    auto client = *HttpClient::create({});
+    RawSocket listener = RawSocket::bound();
+    listener.listen();
+    const std::string method = GENERATE("GET", "POST");
+    const std::string start = GENERATE("", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n");
+    const std::string framing = GENERATE("", "Content-Length: 10\r\n", "Transfer-Encoding: chunked\r\n");
+    const std::string head = start + "HTTP/1.1 200 OK\r\nServer-Seal: s\r\n" + framing + "X-Last: y\r\n\r\n";
+
+    GIVEN("an endpoint that closes the connection after each part of the head")
+    {
+        THEN("no part is a response")
+        {
+            for (std::size_t length = 0; length < head.size(); ++length) {
+                HttpRequest asked = request(method, listener.port(), "/");
+                // A repetition of a request whose kept connection was closed would wait for a further response.
+                asked.freshConnection = true;
+                Call call = startCall(*client, std::move(asked));
+                RawSocket connection = listener.accept();
+                connection.receiveRequest();
+                connection.send(head.substr(0, length));
+                connection.close();
+                INFO(head.substr(0, length));
+                const Ending ending = await(call.ending);
+                REQUIRE_FALSE(ending.response);
+            }
+        }
+    }
+}
+
+// Guards against a short body that looks whole, and against its rest that is taken for the next response.
+SCENARIO("a response whose head is malformed or contradicts itself is lost")
+{
+    auto client = *HttpClient::create({});
+    RawSocket listener = RawSocket::bound();
+    listener.listen();
+
+    GIVEN("an endpoint whose head says two things")
+    {
+        const std::string fields = GENERATE(as<std::string>(), "Content-Length: 5\r\nContent-Length: 10\r\n",
+            "Content-Length: 10\r\nContent-Length: 5\r\n", "Content-Length: 5, 10\r\n", "Content-Length: +5\r\n",
+            "Content-Length: 5x\r\n", "Content-Length: \r\n", "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
+            "Transfer-Encoding: gzip\r\n", "X: y\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n", "Content-Length : 5\r\n",
+            ": empty\r\n", "X-A: b\r\n folded: line\r\n", "X\x01Y: z\r\n", "no colon\r\n");
+        Call call = startCall(*client, request("GET", listener.port(), "/"));
+        RawSocket connection = listener.accept();
+        connection.receiveRequest();
+        connection.send("HTTP/1.1 200 OK\r\nServer-Seal: s\r\n" + fields + "\r\nhelloworld");
+
+        THEN("it gives no response, and its connection isn't used again")
+        {
+            INFO(fields);
+            CHECK(connection.seesClose());
+            CHECK_FALSE(await(call.ending).response);
+        }
+    }
+    GIVEN("an endpoint that says the length twice, with the same figure")
+    {
+        Call call = startCall(*client, request("GET", listener.port(), "/"));
+        RawSocket connection = listener.accept();
+        connection.receiveRequest();
+        connection.send("HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 5\r\n\r\nhello");
+
+        THEN("the response is whole") { CHECK(await(call.ending).response); }
+    }
+}
+
+// Guards against fields after the body that pass for those of the head.
+SCENARIO("fields after a chunked body are no part of the response")
+{
+    auto client = *HttpClient::create({});
+    RawSocket listener = RawSocket::bound();
+    listener.listen();
+    Call call = startCall(*client, request("GET", listener.port(), "/"));
+    RawSocket connection = listener.accept();
+    connection.receiveRequest();
+    connection.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nServer-Seal: s\r\n\r\n");
+    const Ending ending = await(call.ending);
+    REQUIRE(ending.response);
+    CHECK(ending.response->body == "hello");
+    CHECK(ending.response->headers == HttpHeaders { { "transfer-encoding", "chunked" } });
+}
+
+// Guards against a late second copy of a response that the next request on its connection gets.
+SCENARIO("a kept connection on which bytes came that nobody asked for isn't used again")
+{
+    auto client = *HttpClient::create({});
+    RawSocket listener = RawSocket::bound();
+    listener.listen();
+    Call first = startCall(*client, request("GET", listener.port(), "/first"));
+    RawSocket connection = listener.accept();
+    connection.receiveRequest();
+    const std::string response = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst";
+
+    GIVEN("a second copy that comes with the response, or before the next request")
+    {
+        const bool isLate = GENERATE(false, true);
+        const std::string extra = GENERATE_COPY(response, response.substr(0, 9), std::string("x"));
+        connection.send(isLate ? response : response + extra);
+        REQUIRE(await(first.ending).response);
+        if (isLate)
+            connection.send(extra);
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+
+        WHEN("another request is sent")
+        {
+            Call second = startCall(*client, request("GET", listener.port(), "/second"));
+
+            THEN("it gets a connection of its own")
+            {
+                RawSocket other = listener.accept();
+                CHECK(other.receiveRequest().find("/second") != std::string::npos);
+                other.send("HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nsecond");
+                const Ending ending = await(second.ending);
+                REQUIRE(ending.response);
+                CHECK(ending.response->body == "second");
+            }
+        }
+    }
+}
+
 // Guards against a peer whose bytes never end, which would fill the memory of the process.
 SCENARIO("a response without end is cut off at a limit")
 {
