--- a/packages/cli/fuchsialb/src/Cli/Transport.cpp
+++ b/packages/cli/fuchsialb/src/Cli/Transport.cpp
@@ -38,4 +38,6 @@
 
 void TransportClient::cancel(HttpExchangeId) { }
 
+void TransportClient::setPaused(HttpExchangeId, bool) { }
+
 } // namespace fuchsialb
--- a/packages/cli/fuchsialb/src/Cli/Transport.h
+++ b/packages/cli/fuchsialb/src/Cli/Transport.h
@@ -23,8 +23,9 @@
     explicit TransportClient(Transport transport);
 
     absl::StatusOr<HttpExchangeId> start(HttpRequest request, HttpHandlers handlers) override;
-    /// Does nothing: an exchange has always ended.
+    /// Do nothing: an exchange has always ended.
     void cancel(HttpExchangeId exchange) override;
+    void setPaused(HttpExchangeId exchange, bool isPaused) override;
 
 private:
     Transport m_transport;
--- a/packages/gateway/fuchsialb/src/Gateway/StreamCall.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/StreamCall.cpp
@@ -23,6 +23,8 @@
     constexpr double resumeCacheLimit = 1.05;
     // Maximum size of an event; more bytes without the end of an event are not a stream of events.
     constexpr std::size_t maxEventBytes = 1'048'576;
+    // Bytes that wait for a caller who reads more slowly than its runner sends.
+    constexpr std::size_t maxUnsentBytes = 1'048'576;
     // A draining runner keeps working for about two seconds. Most streams end within this delay; the others are
     // rerouted in the remaining time, when other runners have loaded its layers.
     constexpr Duration rerouteDelay = std::chrono::milliseconds(1100);
@@ -244,6 +246,7 @@
     m_runEvents = 0;
     m_splitter = {};
     m_isInvalid = false;
+    m_isPaused = false;
     m_stallDetector.emplace(StallDetector::Limits {}, now);
     m_stallControls.clear();
     m_sentAt = now;
@@ -357,6 +360,21 @@
         m_reply->begin(m_head->status, m_context.translator.callerHeaders(*m_head));
     }
     m_reply->write(std::move(text));
+    limitUnsentBytes(now);
+}
+
+void StreamCall::limitUnsentBytes(TimePoint now)
+{
+    const std::size_t unsent = m_reply->unsentBytes();
+    const bool isTooMuch = unsent > (m_isPaused ? maxUnsentBytes / 2 : maxUnsentBytes);
+    if (isTooMuch == m_isPaused || !m_exchange)
+        return;
+    m_isPaused = isTooMuch;
+    // The runner isn't to blame for the pause.
+    if (!m_isPaused)
+        m_stallDetector.emplace(StallDetector::Limits {}, now);
+    m_context.metrics.count("stream_pauses", "end", m_isPaused ? "begin" : "end");
+    m_context.http.setPaused(*m_exchange, m_isPaused);
 }
 
 void StreamCall::handleResponse(HttpResponse response)
@@ -382,6 +400,7 @@
         releasePath();
         if (!m_responseStarted)
             m_reply->begin(response.status, m_context.translator.callerHeaders(response));
+        m_reply->write(m_splitter.takeComments());
         m_reply->finish();
         complete(response.status);
         return;
@@ -621,6 +640,9 @@
     const bool isStalled = verdict == StallDetector::Verdict::GiveUp;
     const bool isSuspected = m_repair.hasDeadStage() && !m_pathChangePending;
     if ((isStalled || isSuspected) && now >= m_nextReplacementAt)
+    limitUnsentBytes(now);
+    if (m_isPaused)
+        return;
         replaceRun(isStalled ? "stalled" : "runner-lost");
     else if (verdict == StallDetector::Verdict::Ask && !isSuspected)
         diagnoseStall();
--- a/packages/net/fuchsialb/src/Net/AsioCurlClient.cpp
+++ b/packages/net/fuchsialb/src/Net/AsioCurlClient.cpp
@@ -89,6 +89,25 @@
     failLater(std::move(node.mapped()), Reason::Cancelled, "the exchange was cancelled");
 }
 
+void AsioCurlClient::setPaused(HttpExchangeId exchange, bool isPaused)
+{
+    if (m_inCurl) {
+        asio::post(m_context, [this, alive = m_alive, exchange, isPaused] {
+            if (*alive)
+                setPaused(exchange, isPaused);
+        });
+        return;
+    }
+    const auto found = m_exchanges.find(exchange);
+    if (found == m_exchanges.end())
+        return;
+    // curl may call back with what it has received meanwhile.
+    m_inCurl = true;
+    curl_easy_pause(found->second->handle(), isPaused ? CURLPAUSE_RECV : CURLPAUSE_CONT);
+    m_inCurl = false;
+    collectFinished();
+}
+
 void AsioCurlClient::failLater(std::unique_ptr<CurlExchange> exchange, Reason reason, const char* detail)
 {
     asio::post(m_context, [exchange = std::shared_ptr<CurlExchange>(std::move(exchange)), reason, detail] {
@@ -149,6 +168,7 @@
         node.mapped()->wanted = 0;
         node.mapped()->descriptor.release();
     }
+    client.m_connections.remove(handle);
     return ::close(handle);
 }
 
@@ -168,9 +188,13 @@
     socket->descriptor.async_wait(
         type, [this, alive = m_alive, socket, handle, direction](const asio::error_code& failure) {
             socket->waiting &= ~direction;
-    client.m_connections.remove(handle);
             if (!*alive || failure == asio::error::operation_aborted || !(socket->wanted & direction))
                 return;
+            // Also after a handler that throws, since the other exchanges go on.
+            const absl::Cleanup next = [this, alive, socket, handle] {
+                if (*alive)
+                    wait(socket, handle);
+            };
             act(handle, failure ? CURL_CSELECT_ERR : direction == CURL_POLL_IN ? CURL_CSELECT_IN : CURL_CSELECT_OUT);
         });
 }
@@ -189,11 +213,6 @@
     return 0;
 }
 
-            // Also after a handler that throws, since the other exchanges go on.
-            const absl::Cleanup next = [this, alive, socket, handle] {
-                if (*alive)
-                    wait(socket, handle);
-            };
 void AsioCurlClient::act(curl_socket_t handle, int events)
 {
     int running = 0;
--- a/packages/net/fuchsialb/src/Net/AsioCurlClient.h
+++ b/packages/net/fuchsialb/src/Net/AsioCurlClient.h
@@ -28,6 +28,7 @@
 
     absl::StatusOr<HttpExchangeId> start(HttpRequest request, HttpHandlers handlers) override;
     void cancel(HttpExchangeId exchange) override;
+    void setPaused(HttpExchangeId exchange, bool isPaused) override;
 
 private:
     struct Socket {
@@ -62,8 +63,8 @@
     asio::steady_timer m_timer;
     CURLM* m_multi;
     std::shared_ptr<BodyBudget> m_bodies;
-    std::map<curl_socket_t, std::shared_ptr<Socket>> m_sockets;
     KeptConnections m_connections;
+    std::map<curl_socket_t, std::shared_ptr<Socket>> m_sockets;
     std::map<HttpExchangeId, std::unique_ptr<CurlExchange>> m_exchanges;
     std::uint64_t m_lastId = 0;
     /// curl is at work and calls back; exchanges must not be removed meanwhile.
--- a/packages/net/fuchsialb/src/Net/HttpClient.cpp
+++ b/packages/net/fuchsialb/src/Net/HttpClient.cpp
@@ -56,9 +56,9 @@
         {
             if (!m_multi || curl_multi_setopt(m_multi, CURLMOPT_MAXCONNECTS, maxIdleConnections) != CURLM_OK)
                 return false;
+            const auto signals = ScopedSignalMask::blockAll();
             m_thread = std::thread([this] { loop(); });
             return true;
-            const auto signals = ScopedSignalMask::blockAll();
         }
 
         absl::StatusOr<HttpExchangeId> start(HttpRequest request, HttpHandlers handlers) override
@@ -90,10 +90,25 @@
             curl_multi_wakeup(m_multi);
         }
 
+        void setPaused(HttpExchangeId exchange, bool isPaused) override
+        {
+            {
+                const std::lock_guard lock(m_mutex);
+                if (m_closed)
+                    return;
+                m_commands.emplace_back(Pause { exchange, isPaused });
+            }
+            curl_multi_wakeup(m_multi);
+        }
+
     private:
         using Exchange = std::unique_ptr<internal::CurlExchange>;
-        /// An exchange to start, or the id of one to cancel.
-        using Command = std::variant<Exchange, HttpExchangeId>;
+        struct Pause {
+            HttpExchangeId exchange;
+            bool isPaused = false;
+        };
+        /// An exchange to start, the id of one to cancel, or one to pause or resume.
+        using Command = std::variant<Exchange, HttpExchangeId, Pause>;
 
         void loop()
         {
@@ -120,11 +135,19 @@
             for (Command& command : takeCommands()) {
                 if (auto* exchange = std::get_if<Exchange>(&command))
                     startExchange(std::move(*exchange));
+                else if (const auto* pause = std::get_if<Pause>(&command))
+                    pauseExchange(*pause);
                 else
                     failExchange(std::get<HttpExchangeId>(command), Reason::Cancelled, "the exchange was cancelled");
             }
         }
 
+        void pauseExchange(const Pause& pause)
+        {
+            if (const auto found = m_exchanges.find(pause.exchange); found != m_exchanges.end())
+                curl_easy_pause(found->second->handle(), pause.isPaused ? CURLPAUSE_RECV : CURLPAUSE_CONT);
+        }
+
         void startExchange(Exchange exchange)
         {
             internal::CurlExchange& started = *exchange;
@@ -137,6 +160,24 @@
                 failExchange(started.id(), Reason::InvalidInput, "the request can't be expressed in HTTP");
         }
 
+        void restartExchange(Exchange exchange, CURLcode code)
+        {
+            if (curl_multi_add_handle(m_multi, exchange->handle()) != CURLM_OK) {
+                exchange->finish(code);
+                return;
+            }
+            const std::lock_guard lock(m_mutex);
+            ++m_pending;
+            m_silenceLimited += exchange->limitsSilence() ? 1 : 0;
+            m_exchanges.emplace(exchange->id(), std::move(exchange));
+        }
+
+        static int closeSocket(void* self, curl_socket_t socket)
+        {
+            static_cast<CurlClient*>(self)->m_connections.remove(socket);
+            return ::close(socket);
+        }
+
         void collectFinished()
         {
             int left = 0;
@@ -165,24 +206,6 @@
             std::vector<HttpExchangeId> silent;
             for (const auto& [id, exchange] : m_exchanges) {
                 if (exchange->isSilent(now))
-        void restartExchange(Exchange exchange, CURLcode code)
-        {
-            if (curl_multi_add_handle(m_multi, exchange->handle()) != CURLM_OK) {
-                exchange->finish(code);
-                return;
-            }
-            const std::lock_guard lock(m_mutex);
-            ++m_pending;
-            m_silenceLimited += exchange->limitsSilence() ? 1 : 0;
-            m_exchanges.emplace(exchange->id(), std::move(exchange));
-        }
-
-        static int closeSocket(void* self, curl_socket_t socket)
-        {
-            static_cast<CurlClient*>(self)->m_connections.remove(socket);
-            return ::close(socket);
-        }
-
                     silent.push_back(id);
             }
             for (const HttpExchangeId& id : silent)
@@ -223,6 +246,7 @@
         const Options m_options;
         CURLM* const m_multi;
         const std::shared_ptr<internal::BodyBudget> m_bodies;
+        internal::KeptConnections m_connections;
         std::atomic<bool> m_stopping = false;
 
         std::mutex m_mutex;
@@ -246,7 +270,6 @@
     if (!client->run())
         return error(Reason::Internal, "curl could not be initialised");
     return client;
-        internal::KeptConnections m_connections;
 }
 
 absl::StatusOr<std::unique_ptr<HttpClient>> HttpClient::create(Options options, asio::io_context& context)
--- a/packages/net/fuchsialb/src/Net/HttpClient.h
+++ b/packages/net/fuchsialb/src/Net/HttpClient.h
@@ -97,6 +97,10 @@
     virtual absl::StatusOr<HttpExchangeId> start(HttpRequest request, HttpHandlers handlers) = 0;
     /// Ends an exchange early; it fails with `Cancelled` unless it ended before.
     virtual void cancel(HttpExchangeId exchange) = 0;
+    /// \brief Stops to receive a response, or goes on. What has been received already may still be passed on.
+    ///
+    /// The peer is held up by the flow control of its connection.
+    virtual void setPaused(HttpExchangeId exchange, bool isPaused) = 0;
 };
 
 } // namespace fuchsialb
--- a/packages/net/fuchsialb/src/Net/HttpServer.cpp
+++ b/packages/net/fuchsialb/src/Net/HttpServer.cpp
@@ -75,6 +75,8 @@
             post([](auto& reply) { reply.abort(); });
         }
 
+        std::size_t unsentBytes() const override { return m_reply->unsentBytes(); }
+
         void onClosed(std::function<void()> hook) override
         {
             post([hook = std::move(hook)](auto& reply) mutable { reply.onClosed(std::move(hook)); });
@@ -126,15 +128,16 @@
             }
             if (!m_ownsLoop)
                 return absl::OkStatus();
+            const auto signals = ScopedSignalMask::blockAll();
             m_thread = std::thread([this] {
                 const auto work = asio::make_work_guard(*m_context);
-            const auto signals = ScopedSignalMask::blockAll();
                 m_context->run();
             });
             return absl::OkStatus();
         }
 
         std::uint16_t port() const override { return m_port; }
+        std::size_t unsentBytes() const override { return *m_unsent; }
 
         void stopListening() override
         {
@@ -184,7 +187,7 @@
                 return restinio::request_rejected();
             ServerRequest request = convert(*raw);
             const auto connection = raw->connection_id();
-            const auto state = std::make_shared<internal::RestinioReply>(std::move(raw));
+            const auto state = std::make_shared<internal::RestinioReply>(std::move(raw), m_unsent);
             m_connections->add(connection, state);
             auto reply = std::make_shared<PostedReply>(m_context, state);
             if (const std::uint32_t refusal = refusalOf(request))
@@ -228,6 +231,7 @@
         const bool m_ownsLoop;
         std::shared_ptr<asio::io_context> m_context;
         std::uint16_t m_port = 0;
+        internal::RestinioReply::ByteCount m_unsent = std::make_shared<std::atomic<std::size_t>>(0);
         std::optional<RawServer> m_server;
         std::thread m_thread;
     };
--- a/packages/net/fuchsialb/src/Net/HttpServer.h
+++ b/packages/net/fuchsialb/src/Net/HttpServer.h
@@ -46,6 +46,8 @@
     virtual void finish() = 0;
     /// Closes the connection without finishing the answer, so that it can't look complete.
     virtual void abort() = 0;
+    /// \return Bytes of the answer that wait until the connection takes them; a peer that reads slowly lets them grow.
+    virtual std::size_t unsentBytes() const = 0;
     /// Sets a hook that runs once, on the server's thread, when the peer closes the connection before the answer ended.
     virtual void onClosed(std::function<void()> hook) = 0;
 };
@@ -79,6 +81,8 @@
     virtual ~HttpServer() = default;
 
     virtual std::uint16_t port() const = 0;
+    /// \return Bytes of all answers that wait until their connections take them.
+    virtual std::size_t unsentBytes() const = 0;
     /// Takes no more connections; those that are open go on.
     virtual void stopListening() = 0;
 };
--- a/packages/net/fuchsialb/src/Net/RestinioReply.h
+++ b/packages/net/fuchsialb/src/Net/RestinioReply.h
@@ -4,6 +4,8 @@
 
 #include <restinio/all.hpp>
 
+#include <atomic>
+#include <memory>
 #include <optional>
 
 namespace fuchsialb::internal {
@@ -16,12 +18,18 @@
 /// stops, and never by the thread that drops the last reference to the reply.
 class RestinioReply {
 public:
-    explicit RestinioReply(restinio::request_handle_t request)
+    using ByteCount = std::shared_ptr<std::atomic<std::size_t>>;
+
+    /// \param allUnsent Unsent bytes of all replies of the server.
+    RestinioReply(restinio::request_handle_t request, ByteCount allUnsent)
         : m_request(std::move(request))
         , m_connection(restinio::impl::access_req_connection(*m_request))
+        , m_allUnsent(std::move(allUnsent))
     {
     }
 
+    std::size_t unsentBytes() const { return *m_unsent; }
+
     bool isDone() const { return !m_connection; }
 
     void closeConnection() { m_closesConnection = true; }
@@ -34,8 +42,9 @@
         if (m_closesConnection)
             builder.connection_close();
         appendHeaders(builder, response.headers);
+        const std::size_t size = response.body.size();
         builder.set_body(std::move(response.body));
-        builder.done();
+        builder.done(countUntilSent(size));
         release();
     }
 
@@ -55,15 +64,16 @@
         // An empty chunk would end the body.
         if (!m_stream || piece.empty())
             return;
+        const std::size_t size = piece.size();
         m_stream->append_chunk(std::move(piece));
-        m_stream->flush();
+        m_stream->flush(countUntilSent(size));
     }
 
     void finish()
     {
         if (!m_stream)
             return;
-        m_stream->done();
+        m_stream->done(countUntilSent(1));
         release();
     }
 
@@ -109,6 +119,18 @@
     }
 
 private:
+    /// Counts bytes as unsent.
+    /// \return The callback that ends this, when they are written or their connection is gone.
+    restinio::write_status_cb_t countUntilSent(std::size_t size)
+    {
+        *m_unsent += size;
+        *m_allUnsent += size;
+        return [unsent = m_unsent, allUnsent = m_allUnsent, size](const auto&) {
+            *unsent -= size;
+            *allUnsent -= size;
+        };
+    }
+
     static restinio::http_status_line_t statusLine(std::uint32_t status)
     {
         return { restinio::http_status_code_t(static_cast<std::uint16_t>(status)),
@@ -131,6 +153,8 @@
     restinio::impl::connection_handle_t m_connection;
     std::optional<restinio::response_builder_t<restinio::chunked_output_t>> m_stream;
     std::function<void()> m_hook;
+    ByteCount m_unsent = std::make_shared<std::atomic<std::size_t>>(0);
+    ByteCount m_allUnsent;
     bool m_lost = false;
     bool m_closesConnection = false;
 };
--- a/packages/store/tests/StoreClientTest.cpp
+++ b/packages/store/tests/StoreClientTest.cpp
@@ -24,6 +24,7 @@
         return HttpExchangeId(requests.size());
     }
     void cancel(HttpExchangeId) override { }
+    void setPaused(HttpExchangeId, bool) override { }
 
     HttpRequest answer(std::uint32_t status, std::string version, std::string body)
     {
