Take requests in a shutdown only if they can be finished

With the usual grace time of 8 s and limits of up to 5 s it couldn't happen.

Cause: requests were taken for 2.5 s, whatever the grace time and their own limits.

Change: a request is taken only if it is expected to end in time, by its limit or, for a stream, by the mean duration; others are refused as not run. The process doesn't exit while answers wait to be written.

--- a/packages/core/fuchsialb/Fleet.h
+++ b/packages/core/fuchsialb/Fleet.h
@@ -30,6 +30,7 @@
 #include "src/Fleet/RunHistory.h"
 #include "src/Fleet/RunnerDirectory.h"
 #include "src/Fleet/SharedRetryBudget.h"
+#include "src/Fleet/ShutdownSchedule.h"
 #include "src/Fleet/StallControl.h"
 #include "src/Fleet/StallDetector.h"
 #include "src/Fleet/StoreReach.h"
--- /dev/null
+++ b/packages/core/tests/FleetShutdownTest.cpp
@@ -0,0 +1,42 @@
+#include "fuchsialb/Fleet.h"
+
+#include <catch2/catch.hpp>
+
+using namespace fuchsialb;
+using namespace std::chrono_literals;
+
+// Guards against requests that are taken late in the grace time of a shutdown and cut at its end.
+SCENARIO("a host that shuts down takes the requests alone that it can finish")
+{
+    GIVEN("a grace time, short or long")
+    {
+        const Duration grace = GENERATE(Duration(1s), Duration(3s), Duration(8s), Duration(30s));
+        const ShutdownSchedule schedule(grace);
+
+        THEN("each request that is taken may last as long as expected before the process exits")
+        {
+            for (Duration elapsed { 0 }; elapsed < grace; elapsed += 50ms) {
+                for (const Duration expected : { Duration(100ms), Duration(1500ms), Duration(6s), Duration(20s) }) {
+                    if (schedule.accepts(elapsed, expected))
+                        CHECK(elapsed + expected < schedule.exitTime());
+                }
+            }
+        }
+        THEN("the process has answered all before it exits, and exits before it is killed")
+        {
+            CHECK(schedule.answerTime() < schedule.exitTime());
+            CHECK(schedule.exitTime() < grace);
+        }
+    }
+    GIVEN("the usual grace time")
+    {
+        const ShutdownSchedule schedule(8s);
+
+        THEN("short requests are taken while callers may not know of the shutdown")
+        {
+            CHECK(schedule.accepts(2400ms, 1500ms));
+            CHECK_FALSE(schedule.accepts(2600ms, 1500ms));
+        }
+        THEN("long ones are left to other hosts") { CHECK_FALSE(schedule.accepts(100ms, 20s)); }
+    }
+}
--- a/packages/gateway/fuchsialb/src/Gateway/Call.h
+++ b/packages/gateway/fuchsialb/src/Gateway/Call.h
@@ -43,6 +43,8 @@
     virtual void start() = 0;
     /// Checks timeouts; called every few milliseconds while the request is open.
     virtual void tick(TimePoint now) = 0;
+    /// Answers the request with what is known of it, since the process is about to exit.
+    virtual void endForShutdown() = 0;
     /// Called before `tick` when this host was held up, so that events of runners may wait unread.
     virtual void hostHeldUp(TimePoint) { }
     /// Tries to start a queued request.
--- a/packages/gateway/fuchsialb/src/Gateway/Gateway.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/Gateway.cpp
@@ -25,10 +25,6 @@
     constexpr std::uint32_t maxLogLinesPerSecond = 100;
     // Longer than callers keep idle connections open.
     constexpr Duration connectionIdleTimeout = std::chrono::seconds(75);
-    // New connections keep arriving for this long after the readiness probe starts to fail.
-    constexpr Duration minStopDuration = std::chrono::milliseconds(3000);
-    // The process must exit before the grace time ends.
-    constexpr Duration stopGraceMargin = std::chrono::milliseconds(400);
 
     absl::Status listenOn(std::unique_ptr<HttpServer>& server, const SocketAddress& address,
         const std::shared_ptr<asio::io_context>& loop, HttpServer::Handler handler)
@@ -120,9 +116,9 @@
                 repeat(m_maintenanceTimer, maintenancePeriod, &SingleLoopGateway::runMaintenance);
                 runLoop();
             }
-            m_log.log(LogLine("stopped").add("open_requests", static_cast<std::int64_t>(m_requests->openCount())));
+            m_log.log(LogLine("stopped").add("unfinished_requests", static_cast<std::int64_t>(m_unfinishedRequests)));
             m_output.flush();
-            return m_requests->openCount() == 0;
+            return m_unfinishedRequests == 0;
         }
 
         void requestStop() override
@@ -204,10 +200,21 @@
             m_output.flush();
             if (!m_context->stopping)
                 return;
+            const ShutdownSchedule schedule(m_settings.stopGrace);
             const Duration elapsed = m_clock.now() - m_context->stoppingSince;
-            if ((m_requests->openCount() == 0 && elapsed >= minStopDuration)
-                || elapsed >= m_settings.stopGrace - stopGraceMargin)
+            if (elapsed >= schedule.exitTime())
                 m_loop->stop();
+            else if (elapsed >= schedule.answerTime())
+                endOpenRequests();
+            else if (m_requests->openCount() == 0 && m_callerServer->unsentBytes() == 0
+                && ShutdownSchedule::mayExit(elapsed))
+                m_loop->stop();
+        }
+
+        void endOpenRequests()
+        {
+            m_unfinishedRequests += m_requests->openCount();
+            m_requests->endForShutdown();
         }
 
         void runMaintenance()
@@ -230,6 +237,8 @@
         asio::steady_timer m_requestTimer;
         asio::steady_timer m_maintenanceTimer;
         asio::signal_set m_signals;
+        /// Requests that were answered since the process had to exit.
+        std::size_t m_unfinishedRequests = 0;
         std::unique_ptr<HttpClient> m_http;
         std::unique_ptr<KeyValueService> m_store;
         std::optional<GatewayContext> m_context;
--- a/packages/gateway/fuchsialb/src/Gateway/RequestDispatcher.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/RequestDispatcher.cpp
@@ -11,10 +11,15 @@
     constexpr Duration retryTimeGap = std::chrono::milliseconds(400);
     // Short, since only this host can't serve the request and the next attempt of the caller reaches another one.
     constexpr Duration otherHostRetryAfter = std::chrono::milliseconds(100);
-    // Requests that arrive on open connections later than this after the stop signal might not finish in time.
-    constexpr Duration acceptWhileStopping = std::chrono::milliseconds(2500);
+    // Most streams take less than this multiple of their mean duration.
+    constexpr double longStreamFactor = 1.5;
     constexpr double durationSmoothing = 0.05;
 
+    bool isStream(const MatchedRequest& matched)
+    {
+        return matched.service->engine || matched.route->kind == RouteKind::Stream;
+    }
+
 } // namespace
 
 RequestDispatcher::RequestDispatcher(GatewayContext& context)
@@ -57,10 +62,6 @@
         refuse(*reply, GatewayError::NoRoute, id, "no-route");
         return;
     }
-    if (m_context.stopping && matched.receivedAt - m_context.stoppingSince >= acceptWhileStopping) {
-        refuse(*reply, GatewayError::NotRun, id, "stopping", otherHostRetryAfter);
-        return;
-    }
     if (const auto denial = authenticate(matched)) {
         refuse(*reply, *denial, id, *denial == GatewayError::UnknownKey ? "unknown-key" : "keys-not-proven",
             *denial == GatewayError::NotRun ? std::optional(otherHostRetryAfter) : std::nullopt);
@@ -71,18 +72,22 @@
         refuse(*reply, GatewayError::NotRun, id, "no-service", otherHostRetryAfter);
         return;
     }
-    bool isTrial = false;
-    if (refuseQuarantined(matched, *reply, isTrial))
-        return;
     Duration timeLimit = matched.route->timeout;
     if (matched.request.timeout) {
         timeLimit = std::min(timeLimit, *matched.request.timeout);
         matched.isRetry = *matched.request.timeout + retryTimeGap < matched.route->timeout;
     }
     matched.deadline = matched.receivedAt + timeLimit;
+    if (m_context.stopping && !acceptsWhileStopping(matched)) {
+        refuse(*reply, GatewayError::NotRun, id, "stopping", otherHostRetryAfter);
+        return;
+    }
+    bool isTrial = false;
+    if (refuseQuarantined(matched, *reply, isTrial))
+        return;
     m_context.retryBudget.recordRequest(matched.receivedAt);
     std::shared_ptr<Call> call;
-    if (matched.service->engine || matched.route->kind == RouteKind::Stream)
+    if (isStream(matched))
         call = std::make_shared<StreamCall>(m_context, std::move(matched), reply,
             StreamCall::Owner {
                 m_meanDuration, m_crashWatch, [this](const EndpointId& runner) { runnerLost(runner); } },
@@ -93,6 +98,21 @@
     call->start();
 }
 
+bool RequestDispatcher::acceptsWhileStopping(const MatchedRequest& matched) const
+{
+    const Duration timeLimit = matched.deadline - matched.receivedAt;
+    const auto longStream = std::chrono::duration_cast<Duration>(m_meanDuration * longStreamFactor);
+    return ShutdownSchedule(m_context.settings.stopGrace)
+        .accepts(matched.receivedAt - m_context.stoppingSince,
+            isStream(matched) ? std::min(timeLimit, longStream) : timeLimit);
+}
+
+void RequestDispatcher::endForShutdown()
+{
+    for (const auto& call : openCalls())
+        call->endForShutdown();
+}
+
 bool RequestDispatcher::refuseQuarantined(const MatchedRequest& matched, HttpReply& reply, bool& isTrial)
 {
     CrashEvidence& evidence = m_context.crashEvidence;
--- a/packages/gateway/fuchsialb/src/Gateway/RequestDispatcher.h
+++ b/packages/gateway/fuchsialb/src/Gateway/RequestDispatcher.h
@@ -17,6 +17,8 @@
     void tick();
     /// Called when a runner is draining or was removed from the registry.
     void runnerLeaving(const EndpointId& runner);
+    /// Answers all open requests, since the process is about to exit.
+    void endForShutdown();
     std::size_t openCount() const { return m_openCalls.size(); }
 
 private:
@@ -27,6 +29,8 @@
     std::optional<GatewayError> authenticate(MatchedRequest& matched) const;
     /// \return A random target of the route, drawn by weight; null if it has none or the target is unknown.
     const ServiceProfile* chooseService(const RoutingTable& table, const Route& route);
+    /// \return Whether a request that arrives while this host shuts down is still taken.
+    bool acceptsWhileStopping(const MatchedRequest& matched) const;
     void add(const std::shared_ptr<Call>& call);
     void handleFinished(Call& call);
     void runnerLost(const EndpointId& runner);
--- a/packages/gateway/fuchsialb/src/Gateway/StreamCall.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/StreamCall.cpp
@@ -614,6 +614,13 @@
         refuse(cause);
 }
 
+void StreamCall::endForShutdown()
+{
+    m_mayHaveRun = m_mayHaveRun || m_exchange;
+    if (!isFinished())
+        fail("stopping");
+}
+
 void StreamCall::tick(TimePoint now)
 {
     if (isFinished())
@@ -633,6 +640,9 @@
     checkSuspicion(now);
     if (isFinished() || !m_exchange || !m_stallDetector)
         return;
+    limitUnsentBytes(now);
+    if (m_isPaused)
+        return;
     const bool mayReroute = !m_repair.empty() && !(m_repair.hasDeadStage() && isFlowing(now));
     if (mayReroute && !m_pathChangePending && now >= m_nextRerouteAt && reroute(now))
         return;
@@ -640,9 +650,6 @@
     const bool isStalled = verdict == StallDetector::Verdict::GiveUp;
     const bool isSuspected = m_repair.hasDeadStage() && !m_pathChangePending;
     if ((isStalled || isSuspected) && now >= m_nextReplacementAt)
-    limitUnsentBytes(now);
-    if (m_isPaused)
-        return;
         replaceRun(isStalled ? "stalled" : "runner-lost");
     else if (verdict == StallDetector::Verdict::Ask && !isSuspected)
         diagnoseStall();
--- a/packages/gateway/fuchsialb/src/Gateway/StreamCall.h
+++ b/packages/gateway/fuchsialb/src/Gateway/StreamCall.h
@@ -29,6 +29,7 @@
 
     void start() override;
     void tick(TimePoint now) override;
+    void endForShutdown() override;
     void hostHeldUp(TimePoint now) override;
     bool admit() override;
     void queueTimedOut() override;
@@ -58,9 +59,9 @@
     void recordNotices(const RunnerResponse& response, std::uint32_t status);
     void handlePiece(std::string_view piece);
     void forwardEvents(std::string text, TimePoint now);
-    void handleResponse(HttpResponse response);
     /// Stops to read from the runner while the caller takes less than it sends, and goes on afterwards.
     void limitUnsentBytes(TimePoint now);
+    void handleResponse(HttpResponse response);
     void handleFailure(const HttpFailure& failure);
     void handleRefusal(const RunnerResponse& runnerResponse, std::uint32_t status);
     /// Adds what this host believes of a runner.
@@ -144,9 +145,9 @@
     bool m_responseStarted = false;
     std::optional<std::uint64_t> m_lastEventId;
     EventSplitter m_splitter;
-    /// The current run sends bytes that are no events, and is being cancelled.
     /// The current run isn't read from, since the caller reads too slowly.
     bool m_isPaused = false;
+    /// The current run sends bytes that are no events, and is being cancelled.
     bool m_isInvalid = false;
     std::optional<HttpResponse> m_head;
     /// Runners that refused the request or can't serve it.
--- a/packages/gateway/fuchsialb/src/Gateway/UnaryCall.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/UnaryCall.cpp
@@ -180,6 +180,18 @@
         respond(GatewayError::NotRun, cause, retryDelay());
 }
 
+void UnaryCall::endForShutdown()
+{
+    if (isFinished())
+        return;
+    if (m_errorResponse)
+        forward(*std::exchange(m_errorResponse, std::nullopt));
+    else if (m_mayHaveRun || m_exchange)
+        respond(GatewayError::Failed, "stopping");
+    else
+        respond(GatewayError::NotRun, "stopping", retryDelay());
+}
+
 void UnaryCall::tick(TimePoint now)
 {
     if (isFinished() || now < m_matched.deadline)
--- a/packages/gateway/fuchsialb/src/Gateway/UnaryCall.h
+++ b/packages/gateway/fuchsialb/src/Gateway/UnaryCall.h
@@ -13,6 +13,7 @@
 
     void start() override;
     void tick(TimePoint now) override;
+    void endForShutdown() override;
 
 private:
     void cancelRun() override;
