Pass over odd fields in the list of hosts and in listings

Here, a field of another type in an entry of the list of hosts, or in a page of a listing, threw in the callback of the store's answer: it ended the process, and since the event loop catches exceptions, it ended the watch of that prefix for good.

A message of several parts that isn't there whole is dropped. The end of a shutdown is decided without a repeated branch.

--- a/packages/gateway/fuchsialb/src/Gateway/Gateway.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/Gateway.cpp
@@ -202,13 +202,12 @@
                 return;
             const ShutdownSchedule schedule(m_settings.stopGrace);
             const Duration elapsed = m_clock.now() - m_context->stoppingSince;
-            if (elapsed >= schedule.exitTime())
+            const bool isIdle = m_requests->openCount() == 0 && m_callerServer->unsentBytes() == 0;
+            const bool hasToAnswer = elapsed >= schedule.answerTime();
+            if (elapsed >= schedule.exitTime() || (isIdle && !hasToAnswer && ShutdownSchedule::mayExit(elapsed)))
                 m_loop->stop();
-            else if (elapsed >= schedule.answerTime())
+            else if (hasToAnswer)
                 endOpenRequests();
-            else if (m_requests->openCount() == 0 && m_callerServer->unsentBytes() == 0
-                && ShutdownSchedule::mayExit(elapsed))
-                m_loop->stop();
         }
 
         void endOpenRequests()
--- a/packages/gateway/fuchsialb/src/Gateway/StoreSession.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/StoreSession.cpp
@@ -34,6 +34,21 @@
     constexpr Duration cellRelayTime = std::chrono::milliseconds(500);
     // When the store comes back from an older copy, what the operator has written is there again after this time.
     constexpr Duration rewriteTime = std::chrono::milliseconds(2200);
+    /// \return The registration of a host, or nothing if the value is none.
+    std::optional<RegisteredHost> parseHost(const HostId& id, const std::string& value)
+    {
+        const json object = json::parse(value, nullptr, false);
+        if (!object.is_object())
+            return std::nullopt;
+        const auto text = [&](const char* name) {
+            const auto field = object.find(name);
+            return field != object.end() && field->is_string() ? field->get<std::string>() : std::string();
+        };
+        if (text("data_centre").empty() || text("address").empty())
+            return std::nullopt;
+        return RegisteredHost { id, DataCentreId(text("data_centre")), text("address") };
+    }
+
 } // namespace
 
 StoreSession::StoreSession(GatewayContext& context, OnSharedKey onSharedKey)
@@ -315,12 +330,12 @@
             m_context.log.log(line);
             continue;
         }
-        const json object = json::parse(item.value, nullptr, false);
-        if (!object.is_object()) {
+        const auto registered = parseHost(id, item.value);
+        if (!registered) {
             m_context.log.log(LogLine("host-unreadable").add("host", id.value()));
             continue;
         }
-        const RegisteredHost host { id, DataCentreId(object.value("data_centre", "")), object.value("address", "") };
+        const RegisteredHost& host = *registered;
         if (snapshot)
             hosts.push_back(host);
         else
--- a/packages/net/fuchsialb/src/Net/PeerTransport.cpp
+++ b/packages/net/fuchsialb/src/Net/PeerTransport.cpp
@@ -316,7 +316,8 @@
                 int parts = 1;
                 while (part.more()) {
                     // The parts of a message arrive together.
-                    static_cast<void>(m_router.recv(part, zmq::recv_flags::dontwait));
+                    if (!m_router.recv(part, zmq::recv_flags::dontwait))
+                        return;
                     ++parts;
                 }
                 m_bytesReceived += part.size();
