Wait for the signal in the test of the transport's thread

Cause: sanitizers deliver a signal at the next call that they intercept, not when it is unblocked. Change: the test waits up to a second for the signal before it counts it; it still has to be exactly one.

--- a/packages/net/tests/PeerTransportTest.cpp
+++ b/packages/net/tests/PeerTransportTest.cpp
@@ -324,6 +324,9 @@
         CHECK(b.awaitReceived(count));
         CHECK(s_signalsHandled == 0);
         const auto unblocked = ScopedSignalMask::unblock({ SIGUSR2 });
+        // Sanitizers deliver a signal at the next call that they intercept.
+        for (int i = 0; i < 1000 && s_signalsHandled == 0; ++i)
+            std::this_thread::sleep_for(1ms);
         CHECK(s_signalsHandled == 1);
     }
 
