--- a/packages/net/fuchsialb/src/Net/CurlExchange.cpp
+++ b/packages/net/fuchsialb/src/Net/CurlExchange.cpp
@@ -228,9 +228,11 @@
     auto& exchange = *static_cast<CurlExchange*>(self);
     KeptConnections::Ends ends { remoteAddress, localAddress, remotePort, localPort };
     const curl_socket_t opened = std::exchange(exchange.m_openedSocket, CURL_SOCKET_BAD);
-    exchange.m_hasStrayInput = opened == CURL_SOCKET_BAD && exchange.m_connections.hasInput(ends);
-    if (exchange.m_hasStrayInput)
+    if (opened == CURL_SOCKET_BAD && exchange.m_connections.hasInput(ends)) {
+        // A transfer that is started anew doesn't know what an earlier connection was sent.
+        exchange.m_hasStrayInput = exchange.m_sends == 0;
         return CURL_PREREQFUNC_ABORT;
+    }
     if (opened != CURL_SOCKET_BAD)
         exchange.m_connections.add(std::move(ends), opened);
     if (exchange.m_sends > 0 && !exchange.mayBeSentAgain())
