Repeat the wake of the transport's thread when a signal interrupts it

Cause: the event loop's thread handles the signals and wakes the transport's thread; ZeroMQ ends such a call with EINTR, which threw, and after the event loop had caught it no further wake was sent: messages waited up to a second for the next poll. Change: the call is repeated.

--- a/packages/net/fuchsialb/src/Net/PeerTransport.cpp
+++ b/packages/net/fuchsialb/src/Net/PeerTransport.cpp
@@ -151,7 +151,18 @@
             if (m_woken.exchange(true))
                 return;
             const std::lock_guard lock(m_wakeMutex);
-            static_cast<void>(m_wakeSender.send(zmq::message_t(), zmq::send_flags::dontwait));
+            while (!sendWake()) { }
+        }
+
+        /// \return False if a signal interrupted the call, since the calling thread may handle signals.
+        bool sendWake()
+        {
+            try {
+                static_cast<void>(m_wakeSender.send(zmq::message_t(), zmq::send_flags::dontwait));
+                return true;
+            } catch (const zmq::error_t& failure) {
+                return failure.num() != EINTR;
+            }
         }
 
         void run()
