--- a/packages/net/tests/ResponseFramingTest.cpp
+++ b/packages/net/tests/ResponseFramingTest.cpp
@@ -79,7 +79,7 @@
     const std::string method = GENERATE("GET", "POST");
     const std::string start = GENERATE("", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n");
     const std::string framing = GENERATE("", "Content-Length: 10\r\n", "Transfer-Encoding: chunked\r\n");
-    const std::string head = start + "HTTP/1.1 200 OK\r\nServer-Seal: s\r\n" + framing + "X-Last: y\r\n\r\n";
+    const std::string head = start + "HTTP/1.1 200 OK\r\nX-Seal: s\r\n" + framing + "X-Last: y\r\n\r\n";
 
     GIVEN("an endpoint that closes the connection after each part of the head")
     {
@@ -119,7 +119,7 @@
         Call call = startCall(*client, request("GET", listener.port(), "/"));
         RawSocket connection = listener.accept();
         connection.receiveRequest();
-        connection.send("HTTP/1.1 200 OK\r\nServer-Seal: s\r\n" + fields + "\r\nhelloworld");
+        connection.send("HTTP/1.1 200 OK\r\nX-Seal: s\r\n" + fields + "\r\nhelloworld");
 
         THEN("it gives no response, and its connection isn't used again")
         {
@@ -148,7 +148,7 @@
     Call call = startCall(*client, request("GET", listener.port(), "/"));
     RawSocket connection = listener.accept();
     connection.receiveRequest();
-    connection.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nServer-Seal: s\r\n\r\n");
+    connection.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nX-Seal: s\r\n\r\n");
     const Ending ending = await(call.ending);
     REQUIRE(ending.response);
     CHECK(ending.response->body == "hello");
