Log why a stream isn't run again

A stream that ends for want of another run now says what stood against it and how much of the retry budget is in use; the end of a request says the time since the signal to stop; the exit says the bytes that are unsent.

--- a/packages/core/fuchsialb/src/Fleet/Recovery/SharedRetryBudget.cpp
+++ b/packages/core/fuchsialb/src/Fleet/Recovery/SharedRetryBudget.cpp
@@ -35,12 +35,22 @@
     return tryTakeWithin(spareFraction, now, hosts);
 }
 
+double SharedRetryBudget::allowedRetries(std::size_t hosts) const
+{
+    const double allowance = m_limits.allowance / static_cast<double>(std::max<std::size_t>(1, hosts));
+    return usedFraction * (allowance + m_limits.ratio * static_cast<double>(m_requests.size()));
+}
+
+SharedRetryBudget::Usage SharedRetryBudget::usage(TimePoint now, std::size_t hosts)
+{
+    expire(now);
+    return { static_cast<double>(m_retries.size()), allowedRetries(hosts) };
+}
+
 bool SharedRetryBudget::tryTakeWithin(double share, TimePoint now, std::size_t hosts)
 {
     expire(now);
-    const double allowance = m_limits.allowance / static_cast<double>(std::max<std::size_t>(1, hosts));
-    const double allowed = usedFraction * (allowance + m_limits.ratio * static_cast<double>(m_requests.size()));
-    if (static_cast<double>(m_retries.size()) + 1 > share * allowed)
+    if (static_cast<double>(m_retries.size()) + 1 > share * allowedRetries(hosts))
         return false;
     m_retries.push_back(now);
     return true;
--- a/packages/core/fuchsialb/src/Fleet/Recovery/SharedRetryBudget.h
+++ b/packages/core/fuchsialb/src/Fleet/Recovery/SharedRetryBudget.h
@@ -35,8 +35,16 @@
     /// Puts back the retry taken last, which was not sent.
     void giveBack();
 
+    struct Usage {
+        /// Retries of this host within the window.
+        double taken = 0;
+        double allowed = 0;
+    };
+    Usage usage(TimePoint now, std::size_t hosts);
+
 private:
     void expire(TimePoint now);
+    double allowedRetries(std::size_t hosts) const;
     /// Takes one unless more than `share` of the budget would then be in use.
     bool tryTakeWithin(double share, TimePoint now, std::size_t hosts);
 
--- a/packages/gateway/fuchsialb/src/Gateway/Call.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/Call.cpp
@@ -159,6 +159,8 @@
     if (!cause.empty())
         line.add("cause", cause);
     addLogFields(line);
+    if (m_context.stopping)
+        line.add("stopping_ms", milliseconds(m_context.now() - m_context.stoppingSince));
     m_context.log.log(line);
     cancelRun();
     m_context.metrics.count("requests", "outcome", outcome);
--- a/packages/gateway/fuchsialb/src/Gateway/Gateway.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/Gateway.cpp
@@ -131,7 +131,10 @@
                 repeat(m_maintenanceTimer, maintenancePeriod, &SingleLoopGateway::runMaintenance);
                 runLoop();
             }
-            m_log.log(LogLine("stopped").add("unfinished_requests", static_cast<std::int64_t>(m_unfinishedRequests)));
+            LogLine stopped("stopped");
+            stopped.add("unfinished_requests", static_cast<std::int64_t>(m_unfinishedRequests));
+            stopped.add("unsent_bytes", static_cast<std::int64_t>(m_callerServer->unsentBytes()));
+            m_log.log(stopped);
             m_output.flush();
             return m_unfinishedRequests == 0;
         }
--- a/packages/gateway/fuchsialb/src/Gateway/StreamCall.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/StreamCall.cpp
@@ -507,8 +507,8 @@
     if (!mayHaveRun)
         m_history.discardLast();
     const TimePoint now = m_context.now();
-    if (!mayRetry() || m_probation.hasEndedTooMany() || timeLeft(now) == Duration::zero()
-        || !m_context.retryBudget.tryTake(now, m_context.hosts.size())) {
+    if (const std::string_view obstacle = retryObstacle(now); !obstacle.empty()) {
+        logRetryWithheld(cause, obstacle, now);
         fail(cause);
         return;
     }
@@ -519,6 +519,30 @@
         startNextRun(now);
 }
 
+std::string_view StreamCall::retryObstacle(TimePoint now)
+{
+    if (!mayRetry())
+        return "attempts";
+    if (m_probation.hasEndedTooMany())
+        return "runners-ended";
+    if (timeLeft(now) == Duration::zero())
+        return "deadline";
+    return m_context.retryBudget.tryTake(now, m_context.hosts.size()) ? "" : "budget";
+}
+
+void StreamCall::logRetryWithheld(std::string_view cause, std::string_view obstacle, TimePoint now)
+{
+    const SharedRetryBudget::Usage usage = m_context.retryBudget.usage(now, m_context.hosts.size());
+    LogLine line = logLine("retry-withheld");
+    line.add("cause", cause).add("obstacle", obstacle).add("run", static_cast<std::int64_t>(m_runs));
+    line.add("begun", m_responseStarted ? 1 : 0).add("time_left_ms", toMilliseconds(timeLeft(now)));
+    line.add("retries", static_cast<std::int64_t>(usage.taken));
+    line.add("allowed", static_cast<std::int64_t>(usage.allowed));
+    line.add("hosts", static_cast<std::int64_t>(m_context.hosts.size()));
+    m_context.log.log(line);
+    m_context.metrics.count("retries_withheld", "obstacle", obstacle);
+}
+
 void StreamCall::checkSuspicion(TimePoint now)
 {
     if (!m_suspicionEnd)
--- a/packages/gateway/fuchsialb/src/Gateway/StreamCall.h
+++ b/packages/gateway/fuchsialb/src/Gateway/StreamCall.h
@@ -131,6 +131,9 @@
     void startNextRun(TimePoint now);
     /// Retries the request, whose run has ended, on another path or finishes it.
     void failOver(std::string_view cause, bool mayHaveRun);
+    /// \return Why the request can't be run again; empty if it may be, and then one retry is taken from the budget.
+    std::string_view retryObstacle(TimePoint now);
+    void logRetryWithheld(std::string_view cause, std::string_view obstacle, TimePoint now);
     /// Finishes the request: aborts a response that has started, otherwise answers whether the request may have run.
     void fail(std::string_view cause);
     void recordFailure(const EndpointId& runner, std::string_view cause, Duration suspension);
