Keep a run that may go on until its replacement has sent an event

Callers saw streams cut whose runner was silent for a second and then went on.

Cause: a run at a silent runner was cancelled before the next one was sent. When the next runner refused it, the stream had no run left and was cut, though the former one would have gone on. A suspicion was used as if it were proof.

Change: the former run stays open, and is read, until the next one has sent an event. If the next one is refused, fails or stalls and the former one sends an event, the stream goes back to it. The state of one run is a type of its own. A replacement starts at another first runner where the route allows one, since a runner can't tell two runs of one request from each other.

--- a/packages/gateway/fuchsialb/src/Gateway/StreamCall.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/StreamCall.cpp
@@ -42,6 +42,12 @@
         return names;
     }
 
+    /// \return Whether the bytes of a run aren't a stream of events.
+    bool isUnreadable(const EventSplitter& splitter)
+    {
+        return splitter.isInvalid() || splitter.bufferedSize() > maxEventBytes;
+    }
+
     /// \return Whether the end of the response shows other than by the end of its connection.
     bool isFramed(const HttpResponse& response)
     {
@@ -148,11 +154,11 @@
         key(), { urgency, m_responseStarted || m_matched.isRetry, m_context.now() + maxWait });
 }
 
-std::optional<Path> StreamCall::findAdmittingPath(TimePoint now)
+std::optional<Path> StreamCall::findAdmittingPath(TimePoint now, const EndpointId& avoidedFirst)
 {
     if (now - m_rateLimitedAt >= rateLimitRetryInterval)
         m_rateLimited.clear();
-    while (auto path = findPath(now)) {
+    while (auto path = findPath(now, avoidedFirst)) {
         const RunnerDirectory::Runner* first = m_context.runners.find(path->front().runner);
         if (!first || admitsRequest(*first))
             return path;
@@ -162,10 +168,12 @@
     return std::nullopt;
 }
 
-std::optional<Path> StreamCall::findPath(TimePoint now)
+std::optional<Path> StreamCall::findPath(TimePoint now, const EndpointId& avoidedFirst)
 {
     const double limit = m_runs > 0 ? resumeCacheLimit : AdmissionPolicy::cacheLimit(m_matched.urgency);
     PathRequest request = pathRequest(limit);
+    if (!avoidedFirst.value().empty())
+        request.excludedFirstRunners.insert(avoidedFirst);
     if (!m_matched.service->engine) {
         const RunnerDirectory::Runner* best = nullptr;
         for (const auto& [id, runner] : m_context.runners.runners()) {
@@ -236,46 +244,40 @@
 void StreamCall::startRun(Path path)
 {
     const TimePoint now = m_context.now();
-    m_path = std::move(path);
-    if (const RunnerDirectory::Runner* first = m_context.runners.find(m_path.front().runner)) {
-        m_history.recordRun(first->entry);
-        m_firstStartedAt = first->entry.startedAt;
-        m_probation.startRun(first->entry);
+    m_run = {};
+    m_run.number = ++m_runs;
+    m_run.path = std::move(path);
+    if (const RunnerDirectory::Runner* first = m_context.runners.find(m_run.path.front().runner)) {
+        m_run.first = first->entry;
+        m_history.recordRun(m_run.first);
+        m_probation.startRun(m_run.first);
     }
     reservePath();
-    ++m_runs;
-    m_runEvents = 0;
     m_pauseWatch.startRun();
-    m_splitter = {};
-    m_isInvalid = false;
-    m_isPaused = false;
-    m_stallDetector.emplace(StallDetector::Limits {}, now);
-    m_hasEventOnPath = false;
-    m_stallControls.clear();
-    m_sentAt = now;
-    m_noticesRecorded = false;
+    m_run.stallDetector.emplace(StallDetector::Limits {}, now);
+    m_run.sentAt = now;
     if (m_runs == 1)
         m_startedAt = now;
     RunnerCall call;
-    call.runner = m_path.front().runner;
-    call.address = m_path.front().address;
+    call.runner = m_run.path.front().runner;
+    call.address = m_run.path.front().address;
     call.timeLeft = timeLeft(now);
     call.organisation = m_matched.organisation;
     call.urgency = m_matched.urgency;
     if (m_matched.service->engine)
-        call.path = m_path;
+        call.path = m_run.path;
     call.lastEventId = m_lastEventId;
     call.freshConnection = !m_matched.route->mayRetry();
     LogLine line = logLine("request-sent");
     line.add("run", static_cast<std::int64_t>(m_runs));
     line.add("first", call.runner.value());
-    line.add("stages", static_cast<std::int64_t>(m_path.size())).add("data_centres", dataCentreNames(m_path));
+    line.add("stages", static_cast<std::int64_t>(m_run.path.size())).add("data_centres", dataCentreNames(m_run.path));
     line.add("registry", static_cast<std::int64_t>(m_context.registryVersion.value()));
     m_context.log.log(line);
     const auto started
         = m_context.http.start(m_context.translator.runnerRequest(m_matched.request, call), makeHandlers());
     if (started.ok()) {
-        m_exchange = *started;
+        m_run.exchange = *started;
         return;
     }
     releasePath();
@@ -285,76 +287,103 @@
 HttpHandlers StreamCall::makeHandlers()
 {
     const auto self = std::static_pointer_cast<StreamCall>(shared_from_this());
-    const std::uint32_t run = m_runs;
-    const auto current
-        = [self, run] { return !self->isFinished() && self->m_runs == run && self->m_exchange.has_value(); };
+    const std::uint32_t number = m_run.number;
     HttpHandlers handlers;
     handlers.isOwnResponse = [self](const HttpResponse& head) { return self->isOwnResponse(head); };
-    handlers.onHead = [self, current](const HttpResponse& head) { return current() && self->handleHead(head); };
-    handlers.onPiece = [self, current](std::string_view piece) {
-        if (current())
-            self->handlePiece(piece);
+    handlers.onHead = [self, number](const HttpResponse& head) {
+        StreamRun* run = self->openRun(number);
+        return run && self->handleHead(*run, head);
     };
-    handlers.onResponse = [self, current](HttpResponse response) {
-        if (current())
-            self->handleResponse(std::move(response));
+    handlers.onPiece = [self, number](std::string_view piece) {
+        if (StreamRun* run = self->openRun(number))
+            self->handlePiece(*run, piece);
     };
-    handlers.onFailure = [self, current](const HttpFailure& failure) {
-        if (current())
-            self->handleFailure(failure);
+    handlers.onResponse = [self, number](HttpResponse response) {
+        if (const StreamRun* run = self->openRun(number))
+            self->isFormer(*run) ? self->handleFormerResponse(std::move(response))
+                                 : self->handleResponse(std::move(response));
+    };
+    handlers.onFailure = [self, number](const HttpFailure& failure) {
+        if (const StreamRun* run = self->openRun(number))
+            self->isFormer(*run) ? self->handleFormerFailure(failure) : self->handleFailure(failure);
     };
     return handlers;
 }
 
-void StreamCall::recordNotices(const RunnerResponse& response, std::uint32_t status)
+StreamRun* StreamCall::openRun(std::uint32_t number)
+{
+    if (isFinished())
+        return nullptr;
+    if (m_former && m_former->number == number)
+        return &*m_former;
+    return m_run.number == number && m_run.exchange ? &m_run : nullptr;
+}
+
+void StreamCall::recordNotices(StreamRun& run, const RunnerResponse& response, std::uint32_t status)
 {
     // At the end of a long response, what its head told is out of date.
-    if (!std::exchange(m_noticesRecorded, true))
-        recordRunnerNotices(m_context, { m_path.front().runner, m_firstStartedAt }, response, status, m_sentAt);
+    if (!std::exchange(run.noticesRecorded, true))
+        recordRunnerNotices(m_context, { run.path.front().runner, run.first.startedAt }, response, status, run.sentAt);
 }
 
-bool StreamCall::handleHead(const HttpResponse& head)
+bool StreamCall::handleHead(StreamRun& run, const HttpResponse& head)
 {
     const RunnerResponse runnerResponse = m_context.translator.runnerResponse(head);
     if (!isAuthentic(runnerResponse))
         return false;
-    recordNotices(runnerResponse, head.status);
-    if (!m_head)
-        m_head = head;
+    recordNotices(run, runnerResponse, head.status);
+    run.head = head;
     return true;
 }
 
-void StreamCall::handlePiece(std::string_view piece)
+void StreamCall::handlePiece(StreamRun& run, std::string_view piece)
 {
-    if (m_isInvalid)
+    if (run.isInvalid)
         return;
-    m_splitter.add(piece);
+    run.splitter.add(piece);
+    std::vector<EventSplitter::Event> events;
+    while (auto event = run.splitter.next())
+        events.push_back(*std::move(event));
+    if (isFormer(run)) {
+        if (events.empty()) {
+            if (isUnreadable(run.splitter))
+                cancelFormerRun();
+            return;
+        }
+        returnToFormerRun("former-goes-on");
+    }
+    handleEvents(events);
+    // The caller may have left on the way.
+    if (isFinished() || !m_run.exchange || !isUnreadable(m_run.splitter))
+        return;
+    // The exchange then fails, and with it the run.
+    m_run.isInvalid = true;
+    m_context.http.cancel(*m_run.exchange);
+}
+
+void StreamCall::handleEvents(const std::vector<EventSplitter::Event>& events)
+{
     const TimePoint now = m_context.now();
-    const std::uint64_t eventsBefore = m_runEvents;
+    const std::uint64_t eventsBefore = m_run.events;
     std::string text;
-    while (auto event = m_splitter.next()) {
-        if (event->id && m_lastEventId && *event->id <= *m_lastEventId)
+    for (const EventSplitter::Event& event : events) {
+        if (event.id && m_lastEventId && *event.id <= *m_lastEventId)
             continue;
-        if (event->id)
-            m_lastEventId = event->id;
-        ++m_runEvents;
+        if (event.id)
+            m_lastEventId = event.id;
+        ++m_run.events;
         m_probation.recordEvent(now);
-        text += event->text;
+        text += event.text;
     }
     // The first event of a run waits for the prompt to be read; a pause of this host says nothing of its runners.
-    if (eventsBefore > 0 && !m_pathChangePending && m_stallDetector->pauseStart() == m_stallDetector->lastEvent())
-        m_pauseWatch.recordEvents(
-            m_path, now - m_stallDetector->lastEvent(), static_cast<std::int64_t>(m_runEvents - eventsBefore), now);
-    if (!text.empty())
-        forwardEvents(std::move(text), now);
-    // The caller may have left on the way.
-    if (isFinished())
+    if (eventsBefore > 0 && !m_run.pathChangePending
+        && m_run.stallDetector->pauseStart() == m_run.stallDetector->lastEvent())
+        m_pauseWatch.recordEvents(m_run.path, now - m_run.stallDetector->lastEvent(),
+            static_cast<std::int64_t>(m_run.events - eventsBefore), now);
+    if (text.empty())
         return;
-    // The exchange then fails, and with it the run.
-    if (m_splitter.isInvalid() || m_splitter.bufferedSize() > maxEventBytes) {
-        m_isInvalid = true;
-        m_context.http.cancel(*m_exchange);
-    }
+    cancelFormerRun();
+    forwardEvents(std::move(text), now);
 }
 
 void StreamCall::forwardEvents(std::string text, TimePoint now)
@@ -366,7 +395,7 @@
         m_context.metrics.observe("first_event", now - m_matched.receivedAt);
         if (m_context.stopping)
             m_reply->closeConnection();
-        m_reply->begin(m_head->status, m_context.translator.callerHeaders(*m_head));
+        m_reply->begin(m_run.head->status, m_context.translator.callerHeaders(*m_run.head));
     }
     m_reply->write(std::move(text));
     limitUnsentBytes(now);
@@ -375,36 +404,36 @@
 void StreamCall::limitUnsentBytes(TimePoint now)
 {
     const std::size_t unsent = m_reply->unsentBytes();
-    const bool isTooMuch = unsent > (m_isPaused ? maxUnsentBytes / 2 : maxUnsentBytes);
-    if (isTooMuch == m_isPaused || !m_exchange)
+    const bool isTooMuch = unsent > (m_run.isPaused ? maxUnsentBytes / 2 : maxUnsentBytes);
+    if (isTooMuch == m_run.isPaused || !m_run.exchange)
         return;
-    m_isPaused = isTooMuch;
+    m_run.isPaused = isTooMuch;
     // The runner isn't to blame for the pause.
     m_timeliness.recordReason("slow-caller");
-    if (!m_isPaused)
-        m_stallDetector.emplace(StallDetector::Limits {}, now);
-    m_context.metrics.count("stream_pauses", "end", m_isPaused ? "begin" : "end");
-    m_context.http.setPaused(*m_exchange, m_isPaused);
+    if (!m_run.isPaused)
+        m_run.stallDetector.emplace(StallDetector::Limits {}, now);
+    m_context.metrics.count("stream_pauses", "end", m_run.isPaused ? "begin" : "end");
+    m_context.http.setPaused(*m_run.exchange, m_run.isPaused);
 }
 
 void StreamCall::handleResponse(HttpResponse response)
 {
     const RunnerResponse runnerResponse = m_context.translator.runnerResponse(response);
-    recordNotices(runnerResponse, response.status);
+    recordNotices(m_run, runnerResponse, response.status);
     const bool succeeded = response.status >= 200 && response.status < 300;
     if (succeeded && isAuthentic(runnerResponse)) {
         // Without a length or chunks, the end of the connection is the end of the response, also of one that broke off.
         // The end of a framed response also tells that no event follows the last one of an earlier run.
-        const bool hasNoEvent = m_runEvents == 0 && !(m_lastEventId && isFramed(response));
-        if (m_splitter.hasPartialEvent() || hasNoEvent) {
+        const bool hasNoEvent = m_run.events == 0 && !(m_lastEventId && isFramed(response));
+        if (m_run.splitter.hasPartialEvent() || hasNoEvent) {
             m_probation.recordBroken();
-            recordFailure(m_path.front().runner, "event-cut", brokenStreamSuspension);
+            recordFailure(m_run.path.front().runner, "event-cut", brokenStreamSuspension);
             releasePath();
             failOver("event-cut", true);
             return;
         }
         m_probation.recordComplete(m_context.now());
-        for (const PathStage& stage : m_path)
+        for (const PathStage& stage : m_run.path)
             m_context.runners.recordSuccess(stage.runner, m_context.now());
         m_servedDuration = m_context.now() - m_startedAt;
         m_pauseWatch.recordServed(m_context.now());
@@ -412,7 +441,7 @@
         countLateness();
         if (!m_responseStarted)
             m_reply->begin(response.status, m_context.translator.callerHeaders(response));
-        m_reply->write(m_splitter.takeComments());
+        m_reply->write(m_run.splitter.takeComments());
         m_reply->finish();
         complete(response.status);
         return;
@@ -422,7 +451,7 @@
         return;
     }
     releasePath();
-    if (m_responseStarted || !isAuthentic(runnerResponse))
+    if (m_responseStarted || m_former || !isAuthentic(runnerResponse))
         failOver("runner-error", true);
     else
         forward(std::move(response));
@@ -449,11 +478,11 @@
 {
     const RunnerDirectory::Runner* fault
         = runnerResponse.faultAddress.empty() ? nullptr : m_context.runners.findByAddress(runnerResponse.faultAddress);
-    const EndpointId runner = fault ? fault->entry.id : m_path.front().runner;
+    const EndpointId runner = fault ? fault->entry.id : m_run.path.front().runner;
     m_timeliness.recordReason("run-refused", runner.value());
     LogLine line = logLine("run-refused");
     line.add("runner", runner.value()).add("status", static_cast<std::int64_t>(status));
-    line.add("first", runner == m_path.front().runner ? 1 : 0);
+    line.add("first", runner == m_run.path.front().runner ? 1 : 0);
     addRunnerFields(line, runner);
     m_context.runners.recordFailure(runner, m_context.now(), refusalSuspension);
     m_excluded.insert(runner);
@@ -464,9 +493,9 @@
 
 void StreamCall::handleFailure(const HttpFailure& failure)
 {
-    const EndpointId first = m_path.front().runner;
+    const EndpointId first = m_run.path.front().runner;
     const bool broken = isPathBroken(m_context.now());
-    const std::string_view cause = m_isInvalid ? "event-invalid" : reasonName(reasonOf(failure.status));
+    const std::string_view cause = m_run.isInvalid ? "event-invalid" : reasonName(reasonOf(failure.status));
     m_timeliness.recordReason(cause, first.value());
     releasePath();
     if (!failure.notSent)
@@ -478,25 +507,50 @@
     failOver(cause, !failure.notSent);
 }
 
+void StreamCall::handleFormerResponse(HttpResponse response)
+{
+    const RunnerResponse runnerResponse = m_context.translator.runnerResponse(response);
+    recordNotices(*m_former, runnerResponse, response.status);
+    const bool isWhole = response.status >= 200 && response.status < 300 && isAuthentic(runnerResponse)
+        && m_former->events > 0 && !m_former->splitter.hasPartialEvent();
+    if (!isWhole) {
+        m_former.reset();
+        return;
+    }
+    returnToFormerRun("former-goes-on");
+    handleResponse(std::move(response));
+}
+
+void StreamCall::handleFormerFailure(const HttpFailure& failure)
+{
+    if (!failure.notSent) {
+        m_probation.startRun(m_former->first);
+        m_probation.recordBroken();
+        m_probation.startRun(m_run.first);
+    }
+    recordFailure(m_former->path.front().runner, reasonName(reasonOf(failure.status)), brokenStreamSuspension);
+    m_former.reset();
+}
+
 void StreamCall::reservePath()
 {
-    if (!std::exchange(m_isPathReserved, true))
-        m_context.ledger.reserve(m_path, expectedTokens());
+    if (!std::exchange(m_run.isPathReserved, true))
+        m_context.ledger.reserve(m_run.path, expectedTokens());
 }
 
 void StreamCall::cancelReservation()
 {
-    if (std::exchange(m_isPathReserved, false))
-        m_context.ledger.release(m_path, expectedTokens());
+    if (std::exchange(m_run.isPathReserved, false))
+        m_context.ledger.release(m_run.path, expectedTokens());
 }
 
 void StreamCall::releasePath()
 {
-    m_exchange.reset();
-    m_repair.clear();
-    m_pathChangePending = false;
+    m_run.exchange.reset();
+    m_run.repair.clear();
+    m_run.pathChangePending = false;
     cancelReservation();
-    m_path.clear();
+    m_run.path.clear();
 }
 
 void StreamCall::failOver(std::string_view cause, bool mayHaveRun)
@@ -506,6 +560,10 @@
     m_mayHaveRun = m_mayHaveRun || mayHaveRun;
     if (!mayHaveRun)
         m_history.discardLast();
+    if (m_former) {
+        returnToFormerRun(cause);
+        return;
+    }
     const TimePoint now = m_context.now();
     if (const std::string_view obstacle = retryObstacle(now); !obstacle.empty()) {
         logRetryWithheld(cause, obstacle, now);
@@ -575,7 +633,7 @@
 
 void StreamCall::endForShutdown()
 {
-    m_mayHaveRun = m_mayHaveRun || m_exchange;
+    m_mayHaveRun = m_mayHaveRun || m_run.exchange;
     if (!isFinished())
         fail("stopping");
 }
@@ -592,22 +650,22 @@
         return;
     }
     if (m_probation.isQuarantined()) {
-        m_mayHaveRun = m_mayHaveRun || m_exchange;
+        m_mayHaveRun = m_mayHaveRun || m_run.exchange;
         fail("prompt-quarantined");
         return;
     }
     checkSuspicion(now);
-    if (isFinished() || !m_exchange || !m_stallDetector)
+    if (isFinished() || !m_run.exchange || !m_run.stallDetector)
         return;
     limitUnsentBytes(now);
-    if (m_isPaused)
+    if (m_run.isPaused)
         return;
-    const bool mayReroute = !m_repair.empty() && !(m_repair.hasDeadStage() && isFlowing(now));
-    if (mayReroute && !m_pathChangePending && now >= m_nextRerouteAt && reroute(now))
+    const bool mayReroute = !m_run.repair.empty() && !(m_run.repair.hasDeadStage() && isFlowing(now));
+    if (mayReroute && !m_run.pathChangePending && now >= m_nextRerouteAt && reroute(now))
         return;
-    const StallDetector::Verdict verdict = m_stallDetector->check(now);
+    const StallDetector::Verdict verdict = m_run.stallDetector->check(now);
     const bool isStalled = verdict == StallDetector::Verdict::GiveUp;
-    const bool isSuspected = m_repair.hasDeadStage() && !m_pathChangePending && !isFlowing(now);
+    const bool isSuspected = m_run.repair.hasDeadStage() && !m_run.pathChangePending && !isFlowing(now);
     if ((isStalled || isSuspected) && now >= m_nextReplacementAt)
         replaceRun(isStalled ? "stalled" : "runner-lost");
     else if (verdict == StallDetector::Verdict::Ask && !isSuspected)
@@ -635,9 +693,9 @@
         if (!m_timeliness.lateRunner().empty())
             line.add("late_runner", m_timeliness.lateRunner());
     }
-    if (!m_stallDetector)
+    if (!m_run.stallDetector)
         return;
-    const Duration pause = m_context.now() - m_stallDetector->lastEvent();
+    const Duration pause = m_context.now() - m_run.stallDetector->lastEvent();
     line.add("pause_ms", std::chrono::duration_cast<std::chrono::milliseconds>(pause).count());
 }
 
@@ -647,9 +705,10 @@
         m_context.admissionQueue.remove(key());
         m_isQueued = false;
     }
-    if (!m_exchange)
+    cancelFormerRun();
+    if (!m_run.exchange)
         return;
-    const HttpExchangeId exchange = *m_exchange;
+    const HttpExchangeId exchange = *m_run.exchange;
     releasePath();
     m_context.http.cancel(exchange);
 }
--- a/packages/gateway/fuchsialb/src/Gateway/StreamCall.h
+++ b/packages/gateway/fuchsialb/src/Gateway/StreamCall.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "Call.h"
-#include "EventSplitter.h"
 #include "PauseWatch.h"
 #include "PromptProbation.h"
+#include "StreamRun.h"
 
 #include <set>
 
@@ -56,25 +56,34 @@
     /// \return Whether the runners could serve the request if they were idle, so that queueing it makes sense.
     bool canBeServed(TimePoint now) const;
     void enqueue(Duration maxWait);
-    std::optional<Path> findPath(TimePoint now);
+    /// \param avoidedFirst Not used as the first runner.
+    std::optional<Path> findPath(TimePoint now, const EndpointId& avoidedFirst);
     /// \return A path chosen by the pauses that are forecast for it.
     std::optional<Path> findTimelyPath(PathRequest request, TimePoint now);
     /// \return A path whose first runner admits the request within its limit on requests.
-    std::optional<Path> findAdmittingPath(TimePoint now);
+    std::optional<Path> findAdmittingPath(TimePoint now, const EndpointId& avoidedFirst = {});
     PathRequest pathRequest(double cacheLimit) const;
     /// Reserves capacity on the path and sends the request to its first runner.
     void startRun(Path path);
     HttpHandlers makeHandlers();
+    /// \return The open run with a number, current or former; null if it has ended.
+    StreamRun* openRun(std::uint32_t number);
+    bool isFormer(const StreamRun& run) const { return &run != &m_run; }
     /// \return Whether the response is authentic, so that its body is to be read.
-    bool handleHead(const HttpResponse& head);
+    bool handleHead(StreamRun& run, const HttpResponse& head);
     /// Applies what the runner says of itself in the response to the current run, once.
-    void recordNotices(const RunnerResponse& response, std::uint32_t status);
-    void handlePiece(std::string_view piece);
+    void recordNotices(StreamRun& run, const RunnerResponse& response, std::uint32_t status);
+    void handlePiece(StreamRun& run, std::string_view piece);
+    /// Takes the complete events of the current run.
+    void handleEvents(const std::vector<EventSplitter::Event>& events);
     void forwardEvents(std::string text, TimePoint now);
     /// Stops to read from the runner while the caller takes less than it sends, and goes on afterwards.
     void limitUnsentBytes(TimePoint now);
     void handleResponse(HttpResponse response);
     void handleFailure(const HttpFailure& failure);
+    /// Handles the end of the former run, which becomes the current one if it has brought the whole answer.
+    void handleFormerResponse(HttpResponse response);
+    void handleFormerFailure(const HttpFailure& failure);
     void handleRefusal(const RunnerResponse& runnerResponse, std::uint32_t status);
     /// Adds what this host believes of a runner.
     void addRunnerFields(LogLine& line, const EndpointId& id) const;
@@ -119,8 +128,13 @@
     void releasePath();
     /// \brief Runs the request on another path instead of the current run, which has stopped.
     ///
-    /// The current run goes on unless the route allows another run and a path has room for it.
+    /// The current run goes on unless the route allows another run and a path has room for it. It is kept as the former
+    /// one until the next one has sent an event, and becomes the current one again if the next one ends without.
     void replaceRun(std::string_view cause);
+    /// Takes the former run back in place of the current one.
+    /// \param cause Why the current run is given up.
+    void returnToFormerRun(std::string_view cause);
+    void cancelFormerRun();
     /// Records an event of the current run, which shows that all runners of its path are alive.
     void recordProgress(TimePoint now);
     void recordSuspicion(const EndpointId& runner);
@@ -129,7 +143,8 @@
     void checkSuspicion(TimePoint now);
     /// Starts the next run or waits for a path.
     void startNextRun(TimePoint now);
-    /// Retries the request, whose run has ended, on another path or finishes it.
+    /// Goes on with the former run of the request, whose current one has ended, or retries it on another path or
+    /// finishes it.
     void failOver(std::string_view cause, bool mayHaveRun);
     /// \return Why the request can't be run again; empty if it may be, and then one retry is taken from the budget.
     std::string_view retryObstacle(TimePoint now);
@@ -152,27 +167,14 @@
     PauseWatch m_pauseWatch;
     /// Set while the next run waits until the request is known not to be the reason for the end of a runner.
     std::optional<TimePoint> m_suspicionEnd;
-    Path m_path;
-    bool m_isPathReserved = false;
-    /// Start of the process of the first runner on the path, as known when the request was sent there.
-    std::int64_t m_firstStartedAt = 0;
-    /// When the current run was sent.
-    TimePoint m_sentAt {};
-    bool m_noticesRecorded = false;
-    std::optional<HttpExchangeId> m_exchange;
-    /// Incremented for each run, so that late callbacks of an earlier one are ignored.
+    StreamRun m_run;
+    /// The run before the current one, which may still go on until that one has sent an event.
+    std::optional<StreamRun> m_former;
+    /// Number of runs so far.
     std::uint32_t m_runs = 0;
-    /// Events of the current run.
-    std::uint64_t m_runEvents = 0;
     bool m_mayHaveRun = false;
     bool m_responseStarted = false;
     std::optional<std::uint64_t> m_lastEventId;
-    EventSplitter m_splitter;
-    /// The current run isn't read from, since the caller reads too slowly.
-    bool m_isPaused = false;
-    /// The current run sends bytes that are no events, and is being cancelled.
-    bool m_isInvalid = false;
-    std::optional<HttpResponse> m_head;
     /// Runners that refused the request or can't serve it.
     std::set<EndpointId> m_excluded;
     /// Runners whose limits on requests didn't admit a run as the first one, and when that was.
@@ -183,15 +185,7 @@
     TimePoint m_suspectedAt {};
     /// First runner of each path used.
     RunHistory m_history;
-    std::optional<StallDetector> m_stallDetector;
     StreamTimeliness m_timeliness;
-    /// Whether an event has come since the run began or its path was changed.
-    bool m_hasEventOnPath = false;
-    /// Runners asked in the current run whether this host reaches any runner.
-    std::set<EndpointId> m_stallControls;
-    PathRepair m_repair;
-    /// An order to change the path was sent and is unanswered.
-    bool m_pathChangePending = false;
     TimePoint m_nextRerouteAt {};
     TimePoint m_nextReplacementAt {};
     TimePoint m_startedAt {};
