Share the retries that other hosts leave unused

Callers saw streams cut a millisecond after a refusal, with runners and time left.

Cause: the fleet's budget of retries was divided equally by the number of hosts. With 295 hosts a host had about four in ten seconds, and one after its start, whatever the others used. Failures don't fall equally: one runner's end meets several streams of one host. A bound on the whole fleet was kept as an equal share.

Change: beats carry each host's requests, retries and waiting answers for each service. Where a host doesn't hear most of its data centre, its own share holds, as before. A process has a quarter of its share in its first window. The budget is kept for each service, as the rule is. A part is kept for answers under way, before new requests and hedges.

Evidence: platform.SpentRetryShareTest failed before this change and passes with it. It broke the answers off again at the same runner at first, which isn't the failure that it guards against; the runner now recovers after the break, and hosts are past their first window. core.FleetRetryBudgetTest: the sum of 20, 60 and 300 hosts stays within the rule while all need more than there is, while halves of them don't hear each other, and after half was used and all start again; one host gets 60 retries within two seconds. The figures in FleetHedgeTest follow the new fraction of the budget that is used (0.8 where most hosts are heard, 0.7 elsewhere).

--- a/packages/core/fuchsialb/Fleet.h
+++ b/packages/core/fuchsialb/Fleet.h
@@ -40,6 +40,7 @@
 #include "src/Fleet/Recovery/HedgeDelay.h"
 #include "src/Fleet/Recovery/HedgePolicy.h"
 #include "src/Fleet/Recovery/PathRepair.h"
+#include "src/Fleet/Recovery/RetryUse.h"
 #include "src/Fleet/Recovery/RunHistory.h"
 #include "src/Fleet/Recovery/SharedRetryBudget.h"
 #include "src/Fleet/Recovery/SilentStages.h"
--- a/packages/core/fuchsialb/src/Fleet/Admission/LoadLedger.cpp
+++ b/packages/core/fuchsialb/src/Fleet/Admission/LoadLedger.cpp
@@ -22,6 +22,13 @@
     return count;
 }
 
+HostLoad& HostLoad::operator+=(const HostLoad& other)
+{
+    addLoads(runners, other.runners);
+    retries += other.retries;
+    return *this;
+}
+
 RunnerLoad& RunnerLoad::operator+=(const RunnerLoad& other)
 {
     cache += other.cache;
@@ -34,13 +41,13 @@
 void LoadLedger::reserve(const Path& path, double tokens)
 {
     for (std::size_t i = 0; i < path.size(); ++i)
-        m_own[path[i].runner] += { tokens * path[i].layers.count(), 1, i == 0 ? 1.0 : 0.0, 0 };
+        m_own.runners[path[i].runner] += { tokens * path[i].layers.count(), 1, i == 0 ? 1.0 : 0.0, 0 };
 }
 
 void LoadLedger::release(const Path& path, double tokens)
 {
     for (std::size_t i = 0; i < path.size(); ++i) {
-        RunnerLoad& load = m_own[path[i].runner];
+        RunnerLoad& load = m_own.runners[path[i].runner];
         load += { -tokens * path[i].layers.count(), -1, i == 0 ? -1.0 : 0.0, 0 };
         // Requests are counted in whole numbers, so a smaller remainder is a rounding error.
         if (load.sequences < 0.5)
@@ -51,17 +58,17 @@
 
 void LoadLedger::setDemand(const EndpointId& runner, RequestsPerSecond demand)
 {
-    m_own[runner].demand = demand.value();
+    m_own.runners[runner].demand = demand.value();
     removeIfUnused(runner);
 }
 
 void LoadLedger::removeIfUnused(const EndpointId& runner)
 {
-    if (const auto own = m_own.find(runner); own != m_own.end() && own->second == RunnerLoad())
-        m_own.erase(own);
+    if (const auto own = m_own.runners.find(runner); own != m_own.runners.end() && own->second == RunnerLoad())
+        m_own.runners.erase(own);
 }
 
-void LoadLedger::setPeer(const HostId& host, LoadTable load)
+void LoadLedger::setPeer(const HostId& host, HostLoad load)
 {
     m_peers[host] = std::move(load);
     rebuildOthers();
@@ -73,7 +80,7 @@
         rebuildOthers();
 }
 
-void LoadLedger::setCell(std::uint32_t cell, LoadTable load)
+void LoadLedger::setCell(std::uint32_t cell, HostLoad load)
 {
     m_cells[cell] = std::move(load);
     rebuildOthers();
@@ -85,7 +92,7 @@
         rebuildOthers();
 }
 
-void LoadLedger::setOtherCells(LoadTable load)
+void LoadLedger::setOtherCells(HostLoad load)
 {
     if (m_otherCells.empty() && load.empty())
         return;
@@ -93,7 +100,7 @@
     rebuildOthers();
 }
 
-void LoadLedger::setRemote(const DataCentreId& dataCentre, LoadTable load)
+void LoadLedger::setRemote(const DataCentreId& dataCentre, HostLoad load)
 {
     m_remote[dataCentre] = std::move(load);
     rebuildOthers();
@@ -105,43 +112,48 @@
         rebuildOthers();
 }
 
-LoadTable LoadLedger::cellTotal() const
+HostLoad LoadLedger::cellTotal() const
 {
-    LoadTable sum = m_own;
-    for (const auto& [host, table] : m_peers)
-        addLoads(sum, table);
+    HostLoad sum = m_own;
+    for (const auto& [host, load] : m_peers)
+        sum += load;
     return sum;
 }
 
-LoadTable LoadLedger::cellsTotal() const
+HostLoad LoadLedger::cellsTotal() const
 {
-    LoadTable sum;
-    for (const auto& [cell, table] : m_cells)
-        addLoads(sum, table);
+    HostLoad sum;
+    for (const auto& [cell, load] : m_cells)
+        sum += load;
     return sum;
 }
 
-LoadTable LoadLedger::dataCentreTotal() const
+HostLoad LoadLedger::dataCentreTotal() const
 {
-    LoadTable sum = cellTotal();
+    HostLoad sum = cellTotal();
     // The sum of a former leader counts in place of the single cells until it is removed.
-    addLoads(sum, m_otherCells.empty() ? cellsTotal() : m_otherCells);
+    sum += m_otherCells.empty() ? cellsTotal() : m_otherCells;
     return sum;
 }
 
 void LoadLedger::rebuildOthers()
 {
-    m_others = m_otherCells.empty() ? cellsTotal() : m_otherCells;
-    for (const auto& [host, table] : m_peers)
-        addLoads(m_others, table);
-    for (const auto& [dataCentre, table] : m_remote)
-        addLoads(m_others, table);
+    HostLoad others = m_otherCells.empty() ? cellsTotal() : m_otherCells;
+    for (const auto& [host, load] : m_peers)
+        others += load;
+    m_nearbyRetries = std::move(others.retries);
+    m_others = std::move(others.runners);
+    m_remoteRetries = {};
+    for (const auto& [dataCentre, load] : m_remote) {
+        addLoads(m_others, load.runners);
+        m_remoteRetries += load.retries;
+    }
 }
 
 RunnerLoad LoadLedger::at(const EndpointId& runner) const
 {
     RunnerLoad load;
-    if (const auto own = m_own.find(runner); own != m_own.end())
+    if (const auto own = m_own.runners.find(runner); own != m_own.runners.end())
         load += own->second;
     if (const auto others = m_others.find(runner); others != m_others.end())
         load += others->second;
--- a/packages/core/fuchsialb/src/Fleet/Beats/BeatExchange.cpp
+++ b/packages/core/fuchsialb/src/Fleet/Beats/BeatExchange.cpp
@@ -276,7 +276,7 @@
     });
     // A new leader uses the sum that its predecessor sent until then, while it hears of the other cells one by one.
     if (!sameCells || now - m_otherCellsAt >= cellLoadTimeout) {
-        m_otherCells.clear();
+        m_otherCells = {};
         m_state.ledger.setOtherCells({});
     }
 }
--- a/packages/core/fuchsialb/src/Fleet/Beats/BeatExchange.h
+++ b/packages/core/fuchsialb/src/Fleet/Beats/BeatExchange.h
@@ -26,7 +26,8 @@
 /// centres is expensive. Beats carry the load (so that all hosts admit against the same total), runners found dead or
 /// leaving (so that other hosts needn't detect them by failed requests), and the proof that a configuration is the
 /// newest (so that a host cut off from the store can still trust its configuration). Limits on requests that runners
-/// have named go to all hosts, with the demand for these runners as a part of the load.
+/// have named go to all hosts, with the demand for these runners as a part of the load, and so does the use of the
+/// retry budget.
 ///
 /// Beats to all hosts carry the reports of crashes, to a host whose reports differ; a host that has learnt of a crash
 /// sends its beats at once.
@@ -170,7 +171,7 @@
     /// Number of cells that the indices in `m_cellBeatAt` refer to.
     std::uint32_t m_cells = 1;
     /// The last load of all other cells through the leader of this one, and its arrival.
-    LoadTable m_otherCells;
+    HostLoad m_otherCells;
     TimePoint m_otherCellsAt {};
     std::map<EndpointId, RelayedSuspicion> m_relayedSuspicions;
     /// Since when other hosts are known to have a newer configuration than this one.
--- a/packages/core/fuchsialb/src/Fleet/Beats/HostBeat.h
+++ b/packages/core/fuchsialb/src/Fleet/Beats/HostBeat.h
@@ -23,10 +23,10 @@
     bool operator==(const RunnerSuspicion&) const = default;
 };
 
-/// \brief Load on runners from the requests of one data centre's hosts.
+/// \brief Load from the requests of one data centre's hosts.
 struct DataCentreLoad {
     DataCentreId dataCentre;
-    LoadTable load;
+    HostLoad load;
 
     bool operator==(const DataCentreLoad&) const = default;
 };
@@ -54,13 +54,13 @@
     std::uint32_t cells = 1;
     /// Load from the sender; in a beat to another cell, from all hosts of the sender's cell; in a beat to another data
     /// centre, from all hosts of the sender's data centre.
-    LoadTable load;
+    HostLoad load;
     /// The store doesn't answer the sender's calls.
     bool storeLost = false;
     /// The sender leads its cell.
     bool cellLeader = false;
     /// Load from the other cells of the data centre; empty unless the leader of a cell sends it to its cell.
-    LoadTable otherCells;
+    HostLoad otherCells;
     /// Loads that the sender received from other data centres; empty in a beat to another data centre.
     std::vector<DataCentreLoad> remote;
     std::vector<RunnerSuspicion> suspicions;
--- a/packages/core/fuchsialb/src/Fleet/Directory/HostDirectory.cpp
+++ b/packages/core/fuchsialb/src/Fleet/Directory/HostDirectory.cpp
@@ -162,6 +162,13 @@
     return hosts;
 }
 
+std::size_t HostDirectory::dataCentreSize() const
+{
+    const auto others = std::count_if(m_hosts.begin(), m_hosts.end(),
+        [&](const auto& host) { return host.second.registration.dataCentre == m_dataCentre; });
+    return static_cast<std::size_t>(others) + 1;
+}
+
 bool HostDirectory::alive(const HostId& host, TimePoint now) const
 {
     if (host == m_self)
--- a/packages/core/fuchsialb/src/Fleet/Directory/HostDirectory.h
+++ b/packages/core/fuchsialb/src/Fleet/Directory/HostDirectory.h
@@ -72,6 +72,8 @@
     const std::map<HostId, Host>& hosts() const { return m_hosts; }
     /// \return Number of hosts, this one included, at least 1.
     std::size_t size() const { return m_hosts.size() + 1; }
+    /// \return Number of hosts of this data centre, this one included.
+    std::size_t dataCentreSize() const;
     bool alive(const HostId& host, TimePoint now) const;
     bool isLocal(const HostId& host) const;
     /// \return Number of cells of this data centre, by its known hosts.
--- a/packages/core/fuchsialb/src/Fleet/Recovery/HedgePolicy.cpp
+++ b/packages/core/fuchsialb/src/Fleet/Recovery/HedgePolicy.cpp
@@ -189,7 +189,8 @@
     const RunnerDirectory::Runner* runner = chooseRunner(run, fleet, *slowDelay, now);
     if (!runner)
         return HedgeObstacle::NoRunner;
-    if (!retryBudget.tryTakeSpare(now, fleet.hosts))
+    if (!retryBudget.tryTake(
+            { run.service, SharedRetryBudget::Purpose::Hedge }, { fleet.hosts, fleet.nearbyHosts, fleet.ledger }, now))
         return HedgeObstacle::RetryBudget;
     service->second.budget.take();
     return runner->entry.id;
--- a/packages/core/fuchsialb/src/Fleet/Recovery/HedgePolicy.h
+++ b/packages/core/fuchsialb/src/Fleet/Recovery/HedgePolicy.h
@@ -59,6 +59,8 @@
         /// Number of hosts that share the retry budget, at least 1.
         std::size_t hosts = 1;
         bool isStopping = false;
+        /// Those of the hosts that are in the data centre of this one.
+        std::size_t nearbyHosts = 1;
     };
 
     /// A run whose answer is awaited.
--- a/packages/gateway/fuchsialb/src/Gateway/Gateway.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/Gateway.cpp
@@ -75,11 +75,12 @@
             m_http = *std::move(http);
             m_store = storeFactory(*m_http, m_settings.storeAddress);
             const auto seed = (static_cast<std::uint64_t>(std::random_device()()) << 32) | std::random_device()();
+            Random random(seed);
+            SharedRetryBudget retryBudget({ m_settings.retryRatio, m_settings.retryWindow, m_settings.retryAllowance },
+                m_clock.now(), random.unit());
             m_context.emplace(GatewayContext { m_settings, m_translator, *m_loop, m_clock, *m_http, *m_store, m_log,
-                m_metrics, Random(seed), ConfigurationInForce(m_settings.keyTrust), {}, {},
-                HostDirectory(m_settings.host, m_settings.dataCentre), {}, {},
-                SharedRetryBudget({ m_settings.retryRatio, m_settings.retryWindow, m_settings.retryAllowance }), {},
-                {} });
+                m_metrics, std::move(random), ConfigurationInForce(m_settings.keyTrust), {}, {},
+                HostDirectory(m_settings.host, m_settings.dataCentre), {}, {}, std::move(retryBudget), {}, {} });
             m_requests.emplace(*m_context);
             m_peers.emplace(*m_context,
                 BeatExchange::Hooks { [this](const HostId& from, const DirectoryUpdate& update) {
--- a/packages/gateway/fuchsialb/src/Gateway/GatewayContext.h
+++ b/packages/gateway/fuchsialb/src/Gateway/GatewayContext.h
@@ -55,6 +55,7 @@
     std::function<void(const EndpointId& runner)> onRunnerLeaving {};
 
     TimePoint now() const { return clock.now(); }
+    SharedRetryBudget::Fleet retryFleet() const { return { hosts.size(), hosts.dataCentreSize(), ledger }; }
 };
 
 /// \return Time since boot, including the time that the host was suspended.
--- a/packages/gateway/fuchsialb/src/Gateway/RequestDispatcher.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/RequestDispatcher.cpp
@@ -102,7 +102,7 @@
     bool isTrial = false;
     if (refuseQuarantined(matched, *reply, isTrial))
         return;
-    m_context.retryBudget.recordRequest(matched.receivedAt);
+    m_context.retryBudget.recordRequest(matched.service->name, matched.receivedAt);
     std::shared_ptr<Call> call;
     if (isStream(matched)) {
         StreamCall::Owner owner { m_meanDuration, m_crashWatch, m_eventIntervals[matched.service->name],
--- a/packages/gateway/fuchsialb/src/Gateway/StreamCall.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/StreamCall.cpp
@@ -21,6 +21,8 @@
     // Interval between attempts to start a waiting stream at runners whose limits on requests didn't admit it.
     constexpr Duration rateLimitRetryInterval = std::chrono::milliseconds(250);
     constexpr std::uint32_t statusMisdirectedRequest = 421;
+    // Obstacle to a retry that may pass while the request waits.
+    constexpr std::string_view obstacleBudget = "budget";
 
     std::int64_t toMilliseconds(Duration duration)
     {
@@ -567,10 +569,42 @@
     const TimePoint now = m_context.now();
     if (const std::string_view obstacle = retryObstacle(now); !obstacle.empty()) {
         logRetryWithheld(cause, obstacle, now);
-        fail(cause);
+        // Before an answer, the caller gets one at once and may send the request to another host.
+        if (obstacle != obstacleBudget || !m_responseStarted) {
+            fail(cause);
+            return;
+        }
+        m_context.retryBudget.addWaiting(m_matched.service->name, now);
+        m_retryWait = { now, now + maxResumeWait, std::string(cause) };
         return;
     }
     m_timeliness.recordReason(cause);
+    continueWithNextRun(now);
+}
+
+void StreamCall::checkRetryWait(TimePoint now)
+{
+    if (!m_retryWait)
+        return;
+    const std::string_view obstacle = retryObstacle(now);
+    const std::string cause = m_retryWait->cause;
+    if (obstacle.empty()) {
+        endRetryWait();
+        m_timeliness.recordReason(cause);
+        continueWithNextRun(now);
+    } else if (obstacle != obstacleBudget || now >= m_retryWait->end) {
+        fail(cause);
+    }
+}
+
+void StreamCall::endRetryWait()
+{
+    if (const auto wait = std::exchange(m_retryWait, std::nullopt))
+        m_context.retryBudget.removeWaiting(m_matched.service->name, wait->since);
+}
+
+void StreamCall::continueWithNextRun(TimePoint now)
+{
     if (m_probation.isSuspect())
         m_suspicionEnd = now + maxSuspicionWait;
     else
@@ -585,15 +619,22 @@
         return "runners-ended";
     if (timeLeft(now) == Duration::zero())
         return "deadline";
-    return m_context.retryBudget.tryTake(now, m_context.hosts.size()) ? "" : "budget";
+    SharedRetryBudget::Request request { m_matched.service->name };
+    if (m_responseStarted)
+        request.purpose = SharedRetryBudget::Purpose::Resume;
+    if (m_retryWait)
+        request.waitingSince = m_retryWait->since;
+    return m_context.retryBudget.tryTake(request, m_context.retryFleet(), now) ? "" : obstacleBudget;
 }
 
 void StreamCall::logRetryWithheld(std::string_view cause, std::string_view obstacle, TimePoint now)
 {
-    const SharedRetryBudget::Usage usage = m_context.retryBudget.usage(now, m_context.hosts.size());
+    const SharedRetryBudget::Usage usage
+        = m_context.retryBudget.usage(m_matched.service->name, m_context.retryFleet(), now);
     LogLine line = logLine("retry-withheld");
     line.add("cause", cause).add("obstacle", obstacle).add("run", static_cast<std::int64_t>(m_runs));
     line.add("begun", m_responseStarted ? 1 : 0).add("time_left_ms", toMilliseconds(timeLeft(now)));
+    line.add("own_retries", static_cast<std::int64_t>(usage.own));
     line.add("retries", static_cast<std::int64_t>(usage.taken));
     line.add("allowed", static_cast<std::int64_t>(usage.allowed));
     line.add("hosts", static_cast<std::int64_t>(m_context.hosts.size()));
@@ -654,6 +695,7 @@
         fail("prompt-quarantined");
         return;
     }
+    checkRetryWait(now);
     checkSuspicion(now);
     if (isFinished() || !m_run.exchange || !m_run.stallDetector)
         return;
@@ -705,6 +747,7 @@
         m_context.admissionQueue.remove(key());
         m_isQueued = false;
     }
+    endRetryWait();
     cancelFormerRun();
     if (!m_run.exchange)
         return;
--- a/packages/gateway/fuchsialb/src/Gateway/StreamCall.h
+++ b/packages/gateway/fuchsialb/src/Gateway/StreamCall.h
@@ -141,6 +141,11 @@
     /// \brief Ends the wait of a request that may be the reason for the end of a runner, when that is known or the wait
     /// has lasted too long.
     void checkSuspicion(TimePoint now);
+    /// \brief Ends the wait for a retry when there is one, or the caller has waited for too long.
+    void checkRetryWait(TimePoint now);
+    void endRetryWait();
+    /// Starts the next run when the request isn't the reason for the end of a runner.
+    void continueWithNextRun(TimePoint now);
     /// Starts the next run or waits for a path.
     void startNextRun(TimePoint now);
     /// Goes on with the former run of the request, whose current one has ended, or retries it on another path or
@@ -165,6 +170,15 @@
     Owner m_owner;
     PromptProbation m_probation;
     PauseWatch m_pauseWatch;
+    /// \brief The next run waits for a retry of the budget.
+    struct RetryWait {
+        TimePoint since;
+        TimePoint end;
+        /// Why the former run ended.
+        std::string cause;
+    };
+
+    std::optional<RetryWait> m_retryWait;
     /// Set while the next run waits until the request is known not to be the reason for the end of a runner.
     std::optional<TimePoint> m_suspicionEnd;
     StreamRun m_run;
--- a/packages/gateway/fuchsialb/src/Gateway/StreamCallRecovery.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/StreamCallRecovery.cpp
@@ -95,7 +95,7 @@
     m_nextReplacementAt = now + replacementInterval;
     // A stream that has stopped must not keep others from the room that they need to go on, nor itself.
     cancelReservation();
-    if (!mayRunAgain() || !m_context.retryBudget.tryTake(now, m_context.hosts.size()))
+    if (!mayRunAgain() || !m_context.retryBudget.tryTake({ m_matched.service->name }, m_context.retryFleet(), now))
         return;
     // A runner can't tell two runs of one request from each other.
     const EndpointId first = m_run.path.front().runner;
--- a/packages/gateway/fuchsialb/src/Gateway/UnaryCall.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/UnaryCall.cpp
@@ -106,7 +106,7 @@
 {
     const bool repeatable = !m_mayHaveRun || m_matched.route->mayRetry();
     return repeatable && m_attempts < m_matched.route->maxAttempts && timeLeft(now) > Duration::zero()
-        && m_context.retryBudget.tryTake(now, m_context.hosts.size());
+        && m_context.retryBudget.tryTake({ m_matched.service->name }, m_context.retryFleet(), now);
 }
 
 void UnaryCall::closeRun(const UnaryRun& run)
@@ -193,7 +193,7 @@
         m_context.crashEvidence.quarantine(service, m_matched.request.sharedParts) != nullptr,
         m_context.hostPause.heldUpWithin(*delay, now) };
     const HedgePolicy::Fleet fleet { m_context.runners, m_context.ledger, m_context.rateLimits,
-        m_context.settings.dataCentre, m_context.hosts.size(), m_context.stopping };
+        m_context.settings.dataCentre, m_context.hosts.size(), m_context.stopping, m_context.hosts.dataCentreSize() };
     const HedgePolicy::Decision decision = m_context.hedging.decide(run, fleet, m_context.retryBudget, now);
     if (const auto* obstacle = std::get_if<HedgeObstacle>(&decision)) {
         reportHedgeWithheld(*obstacle, slow.target().endpoint);
--- a/packages/wire/fuchsialb/src/Wire/PeerMessageDecode.cpp
+++ b/packages/wire/fuchsialb/src/Wire/PeerMessageDecode.cpp
@@ -299,6 +299,21 @@
         return to;
     }
 
+    RetryUse decode(Decoder& in, const wire::RetryUse& from)
+    {
+        RetryUse to { from.hosts(), from.shares(), {} };
+        in.require(from.hosts() >= 0 && from.shares() >= 0, "a use of retries is negative");
+        in.require(from.services_size() <= internal::maxServices, "too many services");
+        if (!in.status().ok())
+            return to;
+        for (const wire::ServiceRetries& use : from.services()) {
+            in.require(use.requests() >= 0 && use.retries() >= 0 && use.waiting() >= 0, "a use of retries is negative");
+            to.services[in.id<TargetId>(use.service(), "retries.service")]
+                += { use.requests(), use.retries(), use.waiting() };
+        }
+        return to;
+    }
+
     DirectoryUpdate decode(Decoder& in, const wire::DirectoryUpdate& from)
     {
         DirectoryUpdate to;
@@ -356,12 +371,12 @@
         to.configurationText
             = in.text(from.configuration_text(), internal::maxConfigurationBytes, "host_beat.configuration_text");
         to.configurationWanted = from.configuration_wanted();
-        to.load = decodeLoads(in, from.load());
+        to.load = { decodeLoads(in, from.load()), decode(in, from.retries()) };
         // Hosts of a build without cells don't tell a number.
         to.cells = std::max(1U, from.cells());
         to.cellLeader = from.cell_leader();
         to.storeLost = from.store_lost();
-        to.otherCells = decodeLoads(in, from.other_cells());
+        to.otherCells = { decodeLoads(in, from.other_cells()), decode(in, from.other_cells_retries()) };
         in.require(from.remote_size() <= internal::maxRemoteLoads, "too many data centres");
         in.require(from.suspicions_size() <= internal::maxRunnerLoads, "too many suspicions");
         in.require(from.leaving_runners_size() <= internal::maxRunnerLoads, "too many leaving runners");
@@ -370,8 +385,8 @@
         if (!in.status().ok())
             return to;
         for (const wire::DataCentreLoad& remote : from.remote())
-            to.remote.push_back(
-                { in.id<DataCentreId>(remote.data_centre(), "remote.data_centre"), decodeLoads(in, remote.load()) });
+            to.remote.push_back({ in.id<DataCentreId>(remote.data_centre(), "remote.data_centre"),
+                { decodeLoads(in, remote.load()), decode(in, remote.retries()) } });
         for (const wire::RunnerSuspicion& suspicion : from.suspicions())
             to.suspicions.push_back({ in.id<EndpointId>(suspicion.runner(), "suspicion.runner"),
                 in.duration(suspicion.left_us(), "suspicion.left_us") });
--- a/packages/wire/fuchsialb/src/Wire/PeerMessageEncode.cpp
+++ b/packages/wire/fuchsialb/src/Wire/PeerMessageEncode.cpp
@@ -121,6 +121,19 @@
         }
     }
 
+    void encode(const RetryUse& from, wire::RetryUse& to)
+    {
+        to.set_hosts(static_cast<float>(from.hosts));
+        to.set_shares(static_cast<float>(from.shares));
+        for (const auto& [service, use] : from.services) {
+            wire::ServiceRetries& added = *to.add_services();
+            added.set_service(service.value());
+            added.set_requests(static_cast<float>(use.requests));
+            added.set_retries(static_cast<float>(use.retries));
+            added.set_waiting(static_cast<float>(use.waiting));
+        }
+    }
+
     template <typename From, typename To> void encodeSubmission(const From& from, To& to)
     {
         encode(from.request.value(), *to.mutable_request());
@@ -243,15 +256,18 @@
             to.set_proof_age_us(micros(from.proofAge));
             to.set_configuration_text(from.configurationText);
             to.set_configuration_wanted(from.configurationWanted);
-            encodeLoads(from.load, *to.mutable_load());
+            encodeLoads(from.load.runners, *to.mutable_load());
+            encode(from.load.retries, *to.mutable_retries());
             to.set_cells(from.cells);
             to.set_cell_leader(from.cellLeader);
             to.set_store_lost(from.storeLost);
-            encodeLoads(from.otherCells, *to.mutable_other_cells());
+            encodeLoads(from.otherCells.runners, *to.mutable_other_cells());
+            encode(from.otherCells.retries, *to.mutable_other_cells_retries());
             for (const DataCentreLoad& remote : from.remote) {
                 wire::DataCentreLoad& added = *to.add_remote();
                 added.set_data_centre(remote.dataCentre.value());
-                encodeLoads(remote.load, *added.mutable_load());
+                encodeLoads(remote.load.runners, *added.mutable_load());
+                encode(remote.load.retries, *added.mutable_retries());
             }
             for (const RunnerSuspicion& suspicion : from.suspicions) {
                 wire::RunnerSuspicion& added = *to.add_suspicions();
--- a/packages/wire/fuchsialb/src/Wire/WireLimits.h
+++ b/packages/wire/fuchsialb/src/Wire/WireLimits.h
@@ -38,6 +38,8 @@
 inline constexpr std::uint64_t maxConfigurationBytes = 67'108'864;
 /// Most runners whose load travels in one beat; the whole fleet has 5,000.
 inline constexpr int maxRunnerLoads = 8192;
+/// Most services whose retries travel in one beat.
+inline constexpr int maxServices = 1024;
 /// Most crash reports in one beat, and most parts of a prompt in each.
 inline constexpr int maxCrashReports = 1024;
 inline constexpr int maxPromptParts = 64;
