Take in a stop what can be finished, and answer all before the exit

Callers saw streams cut around a SIGTERM.

Causes: a stream was taken after the signal if one and a half times the mean duration fitted into the grace time, a mean where a bound is needed. A process that was held up when it should answer its open requests exited without an answer to any, since the exit had a time of its own. A process that noticed the signal late counted the grace time from then, and would be killed with its requests.

Change: the longest of the latest two hundred durations of the service has to fit; while fewer than thirty are known, the whole time limit. Others are refused as not run, and another host serves them. The exit follows the answers and their writing, by the latest moment before the kill. The grace time counts from the last tick before the signal was noticed, up to a second back.

--- a/packages/core/fuchsialb/Fleet.h
+++ b/packages/core/fuchsialb/Fleet.h
@@ -6,6 +6,7 @@
 
 #include "src/Fleet/Admission/AdmissionQueue.h"
 #include "src/Fleet/Admission/LoadLedger.h"
+#include "src/Fleet/Admission/RecentDurations.h"
 #include "src/Fleet/Admission/RequestRateAdmission.h"
 #include "src/Fleet/Admission/RequestRateLimits.h"
 #include "src/Fleet/Admission/ShutdownSchedule.h"
--- a/packages/core/fuchsialb/src/Fleet/Admission/ShutdownSchedule.h
+++ b/packages/core/fuchsialb/src/Fleet/Admission/ShutdownSchedule.h
@@ -27,9 +27,19 @@
     ///     answer.
     Duration answerTime() const { return exitTime() - writeTime; }
 
-    /// \return Time at which the process exits at the latest.
+    /// \return Time at which the process exits if the answers have been written by then.
     Duration exitTime() const { return std::max(writeTime, m_grace - exitMargin); }
 
+    /// \return Whether a process that has answered its open requests exits. A process that is held up answers late, and
+    ///     its answers still have to be written.
+    /// \param sinceAnswers Time since they were answered.
+    /// \param isWritten No answer waits to be written.
+    bool exitsAfterAnswers(Duration elapsed, Duration sinceAnswers, bool isWritten) const
+    {
+        const bool isLast = elapsed >= m_grace - killMargin;
+        return sinceAnswers > Duration::zero() && (isLast || (isWritten && sinceAnswers >= writeTime));
+    }
+
     /// \return Whether a process without open requests may exit. New connections keep arriving for a while after the
     ///     readiness probe starts to fail.
     static bool mayExit(Duration elapsed) { return elapsed >= minDuration; }
@@ -37,8 +47,10 @@
 private:
     static constexpr Duration acceptTime = std::chrono::milliseconds(2500);
     static constexpr Duration minDuration = std::chrono::milliseconds(3000);
-    // The process must exit before the grace time ends.
+    // The process must exit before the grace time ends, also if it is held up a little.
     static constexpr Duration exitMargin = std::chrono::milliseconds(400);
+    // An exit in the last moment is as good as a kill.
+    static constexpr Duration killMargin = std::chrono::milliseconds(50);
     // For writing the last answers.
     static constexpr Duration writeTime = std::chrono::milliseconds(100);
 
--- a/packages/core/tests/FleetShutdownTest.cpp
+++ b/packages/core/tests/FleetShutdownTest.cpp
@@ -28,6 +28,24 @@
             CHECK(schedule.exitTime() < grace);
         }
     }
+    GIVEN("the usual grace time, and answers that were given late because the process was held up")
+    {
+        const ShutdownSchedule schedule(8s);
+
+        THEN("the process doesn't exit before they are written, while time is left")
+        {
+            CHECK_FALSE(schedule.exitsAfterAnswers(7700ms, 0ms, true));
+            CHECK_FALSE(schedule.exitsAfterAnswers(7750ms, 50ms, true));
+            CHECK_FALSE(schedule.exitsAfterAnswers(7850ms, 150ms, false));
+            CHECK(schedule.exitsAfterAnswers(7850ms, 150ms, true));
+            CHECK(schedule.exitsAfterAnswers(7950ms, 250ms, false));
+        }
+        THEN("a process that was held up beyond the grace time still writes answers once")
+        {
+            CHECK_FALSE(schedule.exitsAfterAnswers(9s, 0ms, true));
+            CHECK(schedule.exitsAfterAnswers(9025ms, 25ms, false));
+        }
+    }
     GIVEN("the usual grace time")
     {
         const ShutdownSchedule schedule(8s);
@@ -40,3 +58,28 @@
         THEN("long ones are left to other hosts") { CHECK_FALSE(schedule.accepts(100ms, 20s)); }
     }
 }
+
+// Guards against streams that are taken in a stop because most are short, and cut at its end.
+SCENARIO("the longest of the latest durations bounds those to come")
+{
+    RecentDurations durations;
+
+    GIVEN("too few durations")
+    {
+        for (int i = 0; i < 29; ++i)
+            durations.record(1s);
+        THEN("nothing is known") { CHECK_FALSE(durations.longest()); }
+    }
+    GIVEN("many short durations and one long one")
+    {
+        durations.record(9s);
+        for (int i = 0; i < 199; ++i)
+            durations.record(1s);
+        THEN("the long one counts until it is out of date")
+        {
+            CHECK(durations.longest() == Duration(9s));
+            durations.record(1s);
+            CHECK(durations.longest() == Duration(1s));
+        }
+    }
+}
--- a/packages/gateway/fuchsialb/src/Gateway/Gateway.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/Gateway.cpp
@@ -26,6 +26,8 @@
     constexpr Duration maintenancePeriod = std::chrono::milliseconds(100);
     // Limit for each event name, so that a burst of refused requests does not fill the log.
     constexpr std::uint32_t maxLogLinesPerSecond = 100;
+    // Longest time by which a signal to stop is taken to have been noticed late.
+    constexpr Duration maxSignalDelay = std::chrono::seconds(1);
     // For idle connections where the configuration names no time, and for the whole of a request.
     constexpr Duration connectionIdleTimeout = std::chrono::seconds(75);
 
@@ -256,7 +258,8 @@
             if (m_context->stopping)
                 return;
             m_context->stopping = true;
-            m_context->stoppingSince = m_clock.now();
+            // A process that was held up notices the signal late, and the grace time counts from the signal.
+            m_context->stoppingSince = std::max(m_tickedAt, m_clock.now() - maxSignalDelay);
             m_log.log(LogLine("stopping").add("open_requests", static_cast<std::int64_t>(m_requests->openCount())));
             m_storeSession->unregisterHost();
         }
@@ -276,18 +279,23 @@
 
         void tick()
         {
+            m_tickedAt = m_clock.now();
             m_requests->tick();
             m_output.flush();
             if (!m_context->stopping)
                 return;
             const ShutdownSchedule schedule(m_settings.stopGrace);
             const Duration elapsed = m_clock.now() - m_context->stoppingSince;
-            const bool isIdle = m_requests->openCount() == 0 && m_callerServer->unsentBytes() == 0;
-            const bool hasToAnswer = elapsed >= schedule.answerTime();
-            if (elapsed >= schedule.exitTime() || (isIdle && !hasToAnswer && ShutdownSchedule::mayExit(elapsed)))
-                m_loop->stop();
-            else if (hasToAnswer)
+            const bool isWritten = m_callerServer->unsentBytes() == 0;
+            if (elapsed >= schedule.answerTime()) {
                 endOpenRequests();
+                if (!m_answeredAt)
+                    m_answeredAt = m_clock.now();
+                if (schedule.exitsAfterAnswers(elapsed, m_clock.now() - *m_answeredAt, isWritten))
+                    m_loop->stop();
+            } else if (m_requests->openCount() == 0 && isWritten && ShutdownSchedule::mayExit(elapsed)) {
+                m_loop->stop();
+            }
         }
 
         void checkSilence() { m_requests->checkSilence(); }
@@ -322,6 +330,9 @@
         asio::steady_timer m_silenceTimer;
         asio::steady_timer m_maintenanceTimer;
         asio::signal_set m_signals;
+        TimePoint m_tickedAt {};
+        /// When the requests that were open near the end of the grace time were answered.
+        std::optional<TimePoint> m_answeredAt;
         /// Requests that were answered since the process had to exit.
         std::size_t m_unfinishedRequests = 0;
         std::unique_ptr<HttpClient> m_http;
--- a/packages/gateway/fuchsialb/src/Gateway/RequestDispatcher.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/RequestDispatcher.cpp
@@ -11,8 +11,6 @@
     constexpr Duration retryTimeGap = std::chrono::milliseconds(400);
     // Short, since only this host can't serve the request and the next attempt of the caller reaches another one.
     constexpr Duration otherHostRetryAfter = std::chrono::milliseconds(100);
-    // Most streams take less than this multiple of their mean duration.
-    constexpr double longStreamFactor = 1.5;
     constexpr double durationSmoothing = 0.05;
 
     bool isStream(const MatchedRequest& matched)
@@ -118,10 +116,11 @@
 bool RequestDispatcher::acceptsWhileStopping(const MatchedRequest& matched) const
 {
     const Duration timeLimit = matched.deadline - matched.receivedAt;
-    const auto longStream = std::chrono::duration_cast<Duration>(m_meanDuration * longStreamFactor);
+    const auto durations = m_durations.find(matched.service->name);
+    const bool isKnown = isStream(matched) && durations != m_durations.end();
+    const Duration longest = isKnown ? durations->second.longest().value_or(timeLimit) : timeLimit;
     return ShutdownSchedule(m_context.settings.stopGrace)
-        .accepts(matched.receivedAt - m_context.stoppingSince,
-            isStream(matched) ? std::min(timeLimit, longStream) : timeLimit);
+        .accepts(matched.receivedAt - m_context.stoppingSince, std::min(timeLimit, longest));
 }
 
 void RequestDispatcher::endForShutdown()
@@ -187,9 +186,12 @@
 
 void RequestDispatcher::handleFinished(Call& call)
 {
-    if (const auto* stream = dynamic_cast<const StreamCall*>(&call); stream && stream->servedDuration())
-        m_meanDuration += Duration(static_cast<Duration::rep>(
-            durationSmoothing * static_cast<double>((*stream->servedDuration() - m_meanDuration).count())));
+    if (const auto* stream = dynamic_cast<const StreamCall*>(&call); stream && stream->servedDuration()) {
+        const Duration duration = *stream->servedDuration();
+        m_meanDuration += Duration(
+            static_cast<Duration::rep>(durationSmoothing * static_cast<double>((duration - m_meanDuration).count())));
+        m_durations[call.matched().service->name].record(duration);
+    }
     m_openCalls.erase(call.key());
 }
 
--- a/packages/gateway/fuchsialb/src/Gateway/RequestDispatcher.h
+++ b/packages/gateway/fuchsialb/src/Gateway/RequestDispatcher.h
@@ -70,6 +70,8 @@
     std::map<AdmissionQueue::Key, std::shared_ptr<Call>> m_openCalls;
     AdmissionQueue::Key m_lastKey = 0;
     std::map<TargetId, EventInterval> m_eventIntervals;
+    /// Durations of served streams.
+    std::map<TargetId, RecentDurations> m_durations;
     /// Exponential moving average of the duration of served streams.
     Duration m_meanDuration { std::chrono::seconds(4) };
 };
