Count the retries of hosts that are no longer heard

The retries of a host, a cell or a data centre that fell silent were forgotten, so that the others could use them twice; a host that lost sight of the others forgot all; and news of retries take up to 2.1 s over cells and data centres, not 1.5 s.

Change: a host keeps what it knew of those that fall silent until the window has passed or they are heard again, and a host that falls back on its own share takes the part that is known to be used off it. The time of news is 2.5 s.

FleetHedgeTest states its bound as half of what is allowed.

--- a/packages/core/fuchsialb/src/Fleet/Recovery/RunHistory.h
+++ b/packages/core/fuchsialb/src/Fleet/Recovery/RunHistory.h
@@ -27,6 +27,8 @@
     void recordRun(const RunnerEntry& runner);
     /// Discards the last run, which the runner refused or which was not sent.
     void discardLast();
+    /// Ends the possibility to discard the last run, since an earlier one goes on in its place.
+    void keepLast() { m_lastIsNew = false; }
     bool mayUseAnotherRunner(const RunnerDirectory& directory) const;
     std::set<EndpointId> runners() const;
 
--- a/packages/core/fuchsialb/src/Fleet/Recovery/SharedRetryBudget.cpp
+++ b/packages/core/fuchsialb/src/Fleet/Recovery/SharedRetryBudget.cpp
@@ -14,7 +14,7 @@
     // Part of the hosts that is heard usually, while some start again.
     constexpr double mostHosts = 0.75;
     // Time in which all hosts learn of a retry by beats, over cells and data centres.
-    constexpr Duration newsTime = std::chrono::milliseconds(1500);
+    constexpr Duration newsTime = std::chrono::milliseconds(2500);
     // The same for the hosts of one data centre.
     constexpr Duration nearbyNewsTime = std::chrono::milliseconds(800);
     // Part of what is free that all hosts may take at once.
@@ -67,6 +67,9 @@
         while (!account.retries.empty() && now - account.retries.front().at >= m_limits.window)
             account.retries.pop_front();
     }
+    for (auto& [service, lost] : m_lost)
+        std::erase_if(lost, [&](const LostRetries& item) { return now - item.at >= m_limits.window; });
+    std::erase_if(m_lost, [](const auto& item) { return item.second.empty(); });
     std::erase_if(m_accounts, [](const auto& item) {
         return item.second.requests.empty() && item.second.retries.empty() && item.second.waiting.empty();
     });
@@ -81,6 +84,43 @@
     return fraction * (m_limits.ratio * static_cast<double>(account.requests.size()) + allowance);
 }
 
+double SharedRetryBudget::othersRetries(const TargetId& service, const Fleet& fleet) const
+{
+    double retries
+        = fleet.ledger.nearbyRetries().of(service).retries + fleet.ledger.remoteRetries().of(service).retries;
+    if (const auto lost = m_lost.find(service); lost != m_lost.end()) {
+        for (const LostRetries& item : lost->second)
+            retries += item.count;
+    }
+    return retries;
+}
+
+void SharedRetryBudget::observe(const LoadLedger& ledger, TimePoint now)
+{
+    const double hosts = ledger.nearbyRetries().hosts + ledger.remoteRetries().hosts;
+    std::map<TargetId, double> seen;
+    for (const RetryUse* use : { &ledger.nearbyRetries(), &ledger.remoteRetries() }) {
+        for (const auto& [service, retries] : use->services)
+            seen[service] += retries.retries;
+    }
+    for (const auto& [service, before] : m_seen) {
+        const double change = seen[service] - before;
+        std::deque<LostRetries>& lost = m_lost[service];
+        if (hosts < m_seenHosts && change < 0)
+            lost.push_back({ now, -change });
+        // Those that are heard again bring their retries with them.
+        for (double back = hosts > m_seenHosts ? change : 0; back > 0 && !lost.empty(); lost.pop_back()) {
+            if (lost.back().count > back) {
+                lost.back().count -= back;
+                break;
+            }
+            back -= lost.back().count;
+        }
+    }
+    m_seen = std::move(seen);
+    m_seenHosts = hosts;
+}
+
 double SharedRetryBudget::allowed(
     const Account& account, const TargetId& service, const Fleet& fleet, TimePoint now) const
 {
@@ -121,7 +161,10 @@
         if (!tryTakeShared(account, request, fleet, now))
             return false;
     } else {
-        const double usable = usableFraction(request.purpose) * ownAllowed(account, fleet, now);
+        // What the others are known to have used before is no longer there for any host.
+        const double others = othersRetries(request.service, fleet);
+        const double left = account.allowedBefore > 0 ? std::max(0.0, 1 - others / account.allowedBefore) : 1;
+        const double usable = usableFraction(request.purpose) * left * ownAllowed(account, fleet, now);
         if (static_cast<double>(account.retries.size()) + 1 > usable)
             return false;
         account.retries.push_back({ now, false });
@@ -137,9 +180,10 @@
     const double heard = nearbyHosts + fleet.ledger.remoteRetries().hosts;
     const double immediate = account.count(now - newsTime, false);
     const double waited = account.count(now - newsTime, true);
-    const double known = nearby.retries + fleet.ledger.remoteRetries().of(request.service).retries
-        + static_cast<double>(account.retries.size()) - immediate - waited;
-    const double free = usableFraction(request.purpose) * allowed(account, request.service, fleet, now) - known;
+    const double known
+        = othersRetries(request.service, fleet) + static_cast<double>(account.retries.size()) - immediate - waited;
+    account.allowedBefore = allowed(account, request.service, fleet, now);
+    const double free = usableFraction(request.purpose) * account.allowedBefore - known;
     if (immediate + 1 <= wholeShare(immediateFraction * free / heard, now)) {
         account.retries.push_back({ now, false });
         return true;
@@ -193,10 +237,7 @@
     expire(now);
     const Account& account = m_accounts[service];
     const auto own = static_cast<double>(account.retries.size());
-    const double others = hearsDataCentre(fleet)
-        ? fleet.ledger.nearbyRetries().of(service).retries + fleet.ledger.remoteRetries().of(service).retries
-        : 0;
-    return { own, own + others, allowed(account, service, fleet, now) };
+    return { own, own + othersRetries(service, fleet), allowed(account, service, fleet, now) };
 }
 
 } // namespace fuchsialb
--- a/packages/core/fuchsialb/src/Fleet/Recovery/SharedRetryBudget.h
+++ b/packages/core/fuchsialb/src/Fleet/Recovery/SharedRetryBudget.h
@@ -80,6 +80,10 @@
     void addWaiting(const TargetId& service, TimePoint since);
     void removeWaiting(const TargetId& service, TimePoint since);
 
+    /// \brief Follows the use of the other hosts; called several times a second.
+    ///
+    /// The retries of hosts that are no longer heard still count in the window.
+    void observe(const LoadLedger& ledger, TimePoint now);
     /// \return The use of this host, for its beats.
     RetryUse use(TimePoint now);
 
@@ -101,6 +105,8 @@
     struct Account {
         std::deque<TimePoint> requests;
         std::deque<Retry> retries;
+        /// Last budget of all hosts that were heard.
+        double allowedBefore = 0;
         /// Since when answers wait.
         std::multiset<TimePoint> waiting;
 
@@ -110,7 +116,15 @@
         double countWaiting(TimePoint end) const;
     };
 
+    /// Retries of hosts that are no longer heard.
+    struct LostRetries {
+        TimePoint at;
+        double count = 0;
+    };
+
     void expire(TimePoint now);
+    /// \return Retries of the other hosts, heard now or lately.
+    double othersRetries(const TargetId& service, const Fleet& fleet) const;
     /// \return This host's share of the allowance, as a part of an equal one.
     double share(TimePoint now) const;
     double allowed(const Account& account, const TargetId& service, const Fleet& fleet, TimePoint now) const;
@@ -125,6 +139,10 @@
     TimePoint m_startedAt;
     double m_phase;
     std::map<TargetId, Account> m_accounts;
+    /// The others' figures when they were last observed.
+    double m_seenHosts = 0;
+    std::map<TargetId, double> m_seen;
+    std::map<TargetId, std::deque<LostRetries>> m_lost;
     /// Service of the retry taken last.
     std::optional<TargetId> m_lastTaken;
 };
--- a/packages/core/tests/FleetHedgeTest.cpp
+++ b/packages/core/tests/FleetHedgeTest.cpp
@@ -208,10 +208,12 @@
     }
     SECTION("to the retries that may be needed: it leaves half of the fleet's budget")
     {
-        // 0.8 of an allowance of 10 and of half of 40 requests is 24.
-        const auto tryTake = [&] { return slow.retryBudget.tryTake({ service }, { 1, 1, slow.ledger }, slow.now); };
-        for (int i = 0; i < 12; ++i)
-            CHECK(tryTake());
+        const SharedRetryBudget::Fleet alone { 1, 1, slow.ledger };
+        const auto tryTake = [&] { return slow.retryBudget.tryTake({ service }, alone, slow.now); };
+        const double allowed = slow.retryBudget.usage(service, alone, slow.now).allowed;
+        CHECK(allowed <= 10 + 0.5 * 40);
+        while (slow.retryBudget.usage(service, alone, slow.now).taken < allowed / 2)
+            REQUIRE(tryTake());
         CHECK(withheld(HedgeObstacle::RetryBudget));
         CHECK(tryTake());
     }
--- a/packages/core/tests/FleetRetryBudgetTest.cpp
+++ b/packages/core/tests/FleetRetryBudgetTest.cpp
@@ -58,6 +58,18 @@
         }
     }
 
+    /// Cuts every second host off from the others.
+    void cutHalves()
+    {
+        const std::size_t count = fleet.hosts.size();
+        for (std::size_t i = 0; i < count; ++i) {
+            for (std::size_t j = 0; j < count; ++j) {
+                if (i % 2 != j % 2)
+                    fleet.cut(fleet.hosts[i]->id, fleet.hosts[j]->id);
+            }
+        }
+    }
+
     /// Starts the processes of all hosts anew; they know nothing of what was used.
     void restartAll()
     {
@@ -65,6 +77,8 @@
             budget = SharedRetryBudget(limits, fleet.now);
     }
 
+    std::size_t taken() const { return m_retries.size(); }
+
     /// \return The largest number of retries by which all hosts together were above the rule in a span of the length of
     ///     the window; 0 if they were never.
     double excess() const
@@ -113,6 +127,7 @@
             m_budgets[host].removeWaiting(service, failed.waiting.front());
             failed.waiting.pop_front();
         }
+        m_budgets[host].observe(fleet.hosts[host]->ledger, fleet.now);
         fleet.hosts[host]->ledger.setRetries(m_budgets[host].use(fleet.now));
     }
 
@@ -122,6 +137,16 @@
     double m_due = 0;
 };
 
+/// Lets five hosts take what the others leave unused.
+void useMuchOfIt(RetryingFleet& hosts)
+{
+    for (int wave = 0; wave < 3; ++wave) {
+        for (std::size_t i = 0; i < 5; ++i)
+            hosts.breakOff(i, 60);
+        hosts.run(1500ms);
+    }
+}
+
 } // namespace
 
 // Guards against answers that are cut because their host has used an equal share, while the others use none of theirs.
@@ -166,19 +191,35 @@
     }
     SECTION("while the halves of them don't hear each other")
     {
-        const auto& list = hosts.fleet.hosts;
-        for (std::size_t i = 0; i < count; ++i) {
-            for (std::size_t j = 0; j < count; ++j) {
-                if (i % 2 != j % 2)
-                    hosts.fleet.cut(list[i]->id, list[j]->id);
-            }
-        }
+        hosts.cutHalves();
         for (int wave = 0; wave < 20; ++wave) {
             for (std::size_t i = 0; i < count; ++i)
                 hosts.breakOff(i, 1000 / count);
             hosts.run(700ms);
         }
     }
+    SECTION("after a few of them have used much of it and the halves no longer hear each other")
+    {
+        useMuchOfIt(hosts);
+        hosts.cutHalves();
+        for (int wave = 0; wave < 10; ++wave) {
+            for (std::size_t i = 0; i < count; ++i)
+                hosts.breakOff(i, 1000 / count);
+            hosts.run(700ms);
+        }
+    }
+    SECTION("after a few of them have used much of it and have ended")
+    {
+        useMuchOfIt(hosts);
+        for (std::size_t i = 0; i < 5; ++i)
+            hosts.fleet.kill(hosts.fleet.hosts[i]->id);
+        hosts.run(2s);
+        for (int wave = 0; wave < 10; ++wave) {
+            for (std::size_t i = 5; i < count; ++i)
+                hosts.breakOff(i, 1000 / count);
+            hosts.run(700ms);
+        }
+    }
     SECTION("after half of it was used and all of them have started again")
     {
         for (std::size_t i = 0; i < count; ++i)
@@ -192,4 +233,5 @@
         }
     }
     CHECK(hosts.excess() == 0);
+    CHECK(static_cast<double>(hosts.taken()) > limits.allowance / 2);
 }
--- a/packages/gateway/fuchsialb/src/Gateway/PeerExchange.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/PeerExchange.cpp
@@ -57,6 +57,7 @@
 {
     if (!m_transport)
         return;
+    m_context.retryBudget.observe(m_context.ledger, m_context.now());
     m_context.ledger.setRetries(m_context.retryBudget.use(m_context.now()));
     for (const BeatExchange::Outgoing& outgoing :
         m_beats.dueBeats(m_context.now(), bootTime(), m_context.stopping, m_context.configurationText)) {
