Forward late events of a former run without giving up its replacement

An event that had passed a stage before it died took the stream back to the dead path. A replacement at the same first runner still ended the run before it was accepted. A stream under way took its replacement from the part of the budget for new requests and didn't say that it waits. After the return to a former run, a refusal could take the wrong run off the count of runners, and an order for its path that was answered meanwhile was ignored.

Change: within the transit time of a suspicion, events of the former run are forwarded and the replacement stays. The same first runner gets another run only if a later stage is known to be dead. Replacements of streams under way take and wait as resumed runs do. The count of runners and the answer to an order follow the run that they belong to.

None of these faults has a test of its own yet.

--- a/packages/gateway/fuchsialb/src/Gateway/StreamCall.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/StreamCall.cpp
@@ -352,6 +352,10 @@
                 cancelFormerRun();
             return;
         }
+        if (mayBeInTransit(events, m_context.now())) {
+            forwardEvents(run, takeNewEvents(run, events, m_context.now()), m_context.now());
+            return;
+        }
         returnToFormerRun("former-goes-on");
     }
     handleEvents(events);
@@ -367,16 +371,7 @@
 {
     const TimePoint now = m_context.now();
     const std::uint64_t eventsBefore = m_run.events;
-    std::string text;
-    for (const EventSplitter::Event& event : events) {
-        if (event.id && m_lastEventId && *event.id <= *m_lastEventId)
-            continue;
-        if (event.id)
-            m_lastEventId = event.id;
-        ++m_run.events;
-        m_probation.recordEvent(now);
-        text += event.text;
-    }
+    std::string text = takeNewEvents(m_run, events, now);
     // The first event of a run waits for the prompt to be read; a pause of this host says nothing of its runners.
     if (eventsBefore > 0 && !m_run.pathChangePending
         && m_run.stallDetector->pauseStart() == m_run.stallDetector->lastEvent())
@@ -385,19 +380,45 @@
     if (text.empty())
         return;
     cancelFormerRun();
-    forwardEvents(std::move(text), now);
+    recordProgress(now);
+    forwardEvents(m_run, std::move(text), now);
 }
 
-void StreamCall::forwardEvents(std::string text, TimePoint now)
+std::string StreamCall::takeNewEvents(StreamRun& run, const std::vector<EventSplitter::Event>& events, TimePoint now)
 {
-    recordProgress(now);
+    std::string text;
+    for (const EventSplitter::Event& event : events) {
+        if (event.id && m_lastEventId && *event.id <= *m_lastEventId)
+            continue;
+        if (event.id)
+            m_lastEventId = event.id;
+        ++run.events;
+        if (!isFormer(run))
+            m_probation.recordEvent(now);
+        text += event.text;
+    }
+    return text;
+}
+
+bool StreamCall::mayBeInTransit(const std::vector<EventSplitter::Event>& events, TimePoint now) const
+{
+    // Without ids, the events that the current run sends again couldn't be told from new ones.
+    const bool haveIds
+        = std::all_of(events.begin(), events.end(), [](const auto& event) { return event.id.has_value(); });
+    return haveIds && m_former->repair.hasDeadStage() && now - m_suspectedAt < maxEventTransit;
+}
+
+void StreamCall::forwardEvents(const StreamRun& run, std::string text, TimePoint now)
+{
+    if (text.empty())
+        return;
     m_timeliness.recordEvent(now);
     if (!m_responseStarted) {
         m_responseStarted = true;
         m_context.metrics.observe("first_event", now - m_matched.receivedAt);
         if (m_context.stopping)
             m_reply->closeConnection();
-        m_reply->begin(m_run.head->status, m_context.translator.callerHeaders(*m_run.head));
+        m_reply->begin(run.head->status, m_context.translator.callerHeaders(*run.head));
     }
     m_reply->write(std::move(text));
     limitUnsentBytes(now);
@@ -574,8 +595,7 @@
             fail(cause);
             return;
         }
-        m_context.retryBudget.addWaiting(m_matched.service->name, now);
-        m_retryWait = { now, now + maxResumeWait, std::string(cause) };
+        m_retryWait = { now + maxResumeWait, std::string(cause) };
         return;
     }
     m_timeliness.recordReason(cause);
@@ -589,7 +609,6 @@
     const std::string_view obstacle = retryObstacle(now);
     const std::string cause = m_retryWait->cause;
     if (obstacle.empty()) {
-        endRetryWait();
         m_timeliness.recordReason(cause);
         continueWithNextRun(now);
     } else if (obstacle != obstacleBudget || now >= m_retryWait->end) {
@@ -599,8 +618,9 @@
 
 void StreamCall::endRetryWait()
 {
-    if (const auto wait = std::exchange(m_retryWait, std::nullopt))
-        m_context.retryBudget.removeWaiting(m_matched.service->name, wait->since);
+    m_retryWait.reset();
+    if (const auto since = std::exchange(m_needsRetrySince, std::nullopt))
+        m_context.retryBudget.removeWaiting(m_matched.service->name, *since);
 }
 
 void StreamCall::continueWithNextRun(TimePoint now)
@@ -619,12 +639,24 @@
         return "runners-ended";
     if (timeLeft(now) == Duration::zero())
         return "deadline";
+    return tryTakeRetry(now) ? "" : obstacleBudget;
+}
+
+bool StreamCall::tryTakeRetry(TimePoint now)
+{
     SharedRetryBudget::Request request { m_matched.service->name };
     if (m_responseStarted)
         request.purpose = SharedRetryBudget::Purpose::Resume;
-    if (m_retryWait)
-        request.waitingSince = m_retryWait->since;
-    return m_context.retryBudget.tryTake(request, m_context.retryFleet(), now) ? "" : obstacleBudget;
+    request.waitingSince = m_needsRetrySince;
+    if (m_context.retryBudget.tryTake(request, m_context.retryFleet(), now)) {
+        endRetryWait();
+        return true;
+    }
+    if (m_responseStarted && !m_needsRetrySince) {
+        m_needsRetrySince = now;
+        m_context.retryBudget.addWaiting(m_matched.service->name, now);
+    }
+    return false;
 }
 
 void StreamCall::logRetryWithheld(std::string_view cause, std::string_view obstacle, TimePoint now)
--- a/packages/gateway/fuchsialb/src/Gateway/StreamCall.h
+++ b/packages/gateway/fuchsialb/src/Gateway/StreamCall.h
@@ -49,6 +49,8 @@
     static constexpr Duration refusalSuspension = std::chrono::milliseconds(300);
     /// A resumed stream was admitted before, so it may fill slightly more of the KV cache than the usual limit.
     static constexpr double resumeCacheLimit = 1.05;
+    /// An event that arrives within this time of a suspicion may have passed the suspected stage before it died.
+    static constexpr Duration maxEventTransit = std::chrono::milliseconds(300);
 
     void cancelRun() override;
     void addLogFields(LogLine& line) const override;
@@ -76,7 +78,12 @@
     void handlePiece(StreamRun& run, std::string_view piece);
     /// Takes the complete events of the current run.
     void handleEvents(const std::vector<EventSplitter::Event>& events);
-    void forwardEvents(std::string text, TimePoint now);
+    /// \return The text of the events that the caller doesn't have yet.
+    std::string takeNewEvents(StreamRun& run, const std::vector<EventSplitter::Event>& events, TimePoint now);
+    /// \return Whether an event of the former run may have passed a dead stage before that one died.
+    bool mayBeInTransit(const std::vector<EventSplitter::Event>& events, TimePoint now) const;
+    /// Writes events of a run, current or former, to the caller.
+    void forwardEvents(const StreamRun& run, std::string text, TimePoint now);
     /// Stops to read from the runner while the caller takes less than it sends, and goes on afterwards.
     void limitUnsentBytes(TimePoint now);
     void handleResponse(HttpResponse response);
@@ -106,6 +113,7 @@
     /// \param replaced The stages that the order was to replace.
     void handlePathChange(
         const std::set<EndpointId>& replaced, const Path& previousPath, const PathChangeResult& result);
+    void handleFormerPathChange(const Path& previousPath, const PathChangeResult& result);
     /// Takes the former path back and learns from the refusal what another order has to avoid.
     /// \return Whether an order that avoids what was learnt may succeed.
     bool handleRefusedPathChange(const Path& previousPath, const PathChangeResult& result);
@@ -143,6 +151,8 @@
     void checkSuspicion(TimePoint now);
     /// \brief Ends the wait for a retry when there is one, or the caller has waited for too long.
     void checkRetryWait(TimePoint now);
+    /// Takes a retry from the budget; until there is one, the other hosts are told if an answer has begun.
+    bool tryTakeRetry(TimePoint now);
     void endRetryWait();
     /// Starts the next run when the request isn't the reason for the end of a runner.
     void continueWithNextRun(TimePoint now);
@@ -172,13 +182,14 @@
     PauseWatch m_pauseWatch;
     /// \brief The next run waits for a retry of the budget.
     struct RetryWait {
-        TimePoint since;
         TimePoint end;
         /// Why the former run ended.
         std::string cause;
     };
 
     std::optional<RetryWait> m_retryWait;
+    /// Since when the other hosts are told that an answer needs a retry.
+    std::optional<TimePoint> m_needsRetrySince;
     /// Set while the next run waits until the request is known not to be the reason for the end of a runner.
     std::optional<TimePoint> m_suspicionEnd;
     StreamRun m_run;
--- a/packages/gateway/fuchsialb/src/Gateway/StreamCallRecovery.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/StreamCallRecovery.cpp
@@ -21,8 +21,6 @@
     constexpr Duration replacementInterval = std::chrono::milliseconds(200);
     // A stream with a shorter pause is taken to flow.
     constexpr Duration maxEventGap = std::chrono::milliseconds(250);
-    // An event that arrives within this time of a suspicion may have passed the suspected stage before it died.
-    constexpr Duration maxEventTransit = std::chrono::milliseconds(300);
 
     std::string joined(const std::vector<PromptPartId>& parts)
     {
@@ -47,6 +45,7 @@
         m_owner.eventInterval.record(pause);
     m_run.stallDetector->recordEvent(now);
     reservePath();
+    endRetryWait();
     if (!m_run.repair.hasDeadStage() && !m_suspected.contains(m_run.path.front().runner))
         return;
     // The stages of a path that was ordered and isn't answered yet may be other ones.
@@ -95,12 +94,12 @@
     m_nextReplacementAt = now + replacementInterval;
     // A stream that has stopped must not keep others from the room that they need to go on, nor itself.
     cancelReservation();
-    if (!mayRunAgain() || !m_context.retryBudget.tryTake({ m_matched.service->name }, m_context.retryFleet(), now))
+    if (!mayRunAgain() || !tryTakeRetry(now))
         return;
-    // A runner can't tell two runs of one request from each other.
+    // A runner can't tell two runs of one request from each other, so the run at the same one has to end first.
     const EndpointId first = m_run.path.front().runner;
     auto path = findAdmittingPath(now, first);
-    if (!path)
+    if (!path && m_run.repair.hasDeadStage())
         path = findAdmittingPath(now);
     if (!path) {
         m_context.retryBudget.giveBack();
@@ -128,8 +127,7 @@
     releasePath();
     const std::uint32_t abandoned = m_run.number;
     m_run = *std::exchange(m_former, std::nullopt);
-    // The answer to an order for its path is ignored meanwhile.
-    m_run.pathChangePending = false;
+    m_history.keepLast();
     m_nextReplacementAt = m_context.now() + replacementInterval;
     m_probation.startRun(m_run.first);
     m_pauseWatch.startRun();
@@ -347,6 +345,8 @@
         [self, run, replaced, previousPath](const PathChangeResult& result) {
             if (!self->isFinished() && self->m_run.number == run && self->m_run.exchange)
                 self->handlePathChange(replaced, previousPath, result);
+            else if (self->m_former && self->m_former->number == run)
+                self->handleFormerPathChange(previousPath, result);
         });
     return true;
 }
@@ -393,6 +393,13 @@
         replaceRun("runner-lost");
 }
 
+void StreamCall::handleFormerPathChange(const Path& previousPath, const PathChangeResult& result)
+{
+    m_former->pathChangePending = false;
+    if (result.outcome != OrderOutcome::Begun && result.outcome != OrderOutcome::Done)
+        m_former->path = previousPath;
+}
+
 bool StreamCall::handleRefusedPathChange(const Path& previousPath, const PathChangeResult& result)
 {
     cancelReservation();
