Count the grace time from before a hold-up in which the signal came

A handler that throws on each tick would have kept the process from its exit.

Change: a hold-up is kept until one period after its end, and the signal is taken to have come at its start, at most 0.8 s before. The exit is checked first.

--- a/packages/gateway/fuchsialb/src/Gateway/Gateway.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/Gateway.cpp
@@ -27,7 +27,9 @@
     // Limit for each event name, so that a burst of refused requests does not fill the log.
     constexpr std::uint32_t maxLogLinesPerSecond = 100;
     // Longest time by which a signal to stop is taken to have been noticed late.
-    constexpr Duration maxSignalDelay = std::chrono::seconds(1);
+    constexpr Duration maxSignalDelay = std::chrono::milliseconds(800);
+    // A longer time between two ticks means that the process was held up.
+    constexpr Duration maxTickGap = std::chrono::milliseconds(100);
     // For idle connections where the configuration names no time, and for the whole of a request.
     constexpr Duration connectionIdleTimeout = std::chrono::seconds(75);
 
@@ -259,7 +261,10 @@
                 return;
             m_context->stopping = true;
             // A process that was held up notices the signal late, and the grace time counts from the signal.
-            m_context->stoppingSince = std::max(m_tickedAt, m_clock.now() - maxSignalDelay);
+            const TimePoint now = m_clock.now();
+            const bool wasHeldUp = now - m_tickedAt > maxTickGap || now - m_heldUpUntil < requestTickPeriod;
+            const TimePoint earliest = now - m_tickedAt > maxTickGap ? m_tickedAt : m_heldUpSince;
+            m_context->stoppingSince = wasHeldUp ? std::max(earliest, now - maxSignalDelay) : now;
             m_log.log(LogLine("stopping").add("open_requests", static_cast<std::int64_t>(m_requests->openCount())));
             m_storeSession->unregisterHost();
         }
@@ -279,20 +284,26 @@
 
         void tick()
         {
-            m_tickedAt = m_clock.now();
+            const TimePoint now = m_clock.now();
+            if (now - m_tickedAt > maxTickGap) {
+                m_heldUpSince = m_tickedAt;
+                m_heldUpUntil = now;
+            }
+            m_tickedAt = now;
             m_requests->tick();
             m_output.flush();
             if (!m_context->stopping)
                 return;
             const ShutdownSchedule schedule(m_settings.stopGrace);
-            const Duration elapsed = m_clock.now() - m_context->stoppingSince;
+            const Duration elapsed = now - m_context->stoppingSince;
             const bool isWritten = m_callerServer->unsentBytes() == 0;
             if (elapsed >= schedule.answerTime()) {
-                endOpenRequests();
                 if (!m_answeredAt)
-                    m_answeredAt = m_clock.now();
-                if (schedule.exitsAfterAnswers(elapsed, m_clock.now() - *m_answeredAt, isWritten))
+                    m_answeredAt = now;
+                if (schedule.exitsAfterAnswers(elapsed, now - *m_answeredAt, isWritten))
                     m_loop->stop();
+                else
+                    endOpenRequests();
             } else if (m_requests->openCount() == 0 && isWritten && ShutdownSchedule::mayExit(elapsed)) {
                 m_loop->stop();
             }
@@ -331,6 +342,9 @@
         asio::steady_timer m_maintenanceTimer;
         asio::signal_set m_signals;
         TimePoint m_tickedAt {};
+        /// The last time in which the process was held up.
+        TimePoint m_heldUpSince {};
+        TimePoint m_heldUpUntil {};
         /// When the requests that were open near the end of the grace time were answered.
         std::optional<TimePoint> m_answeredAt;
         /// Requests that were answered since the process had to exit.
