--- a/packages/gateway/fuchsialb/src/Gateway/Gateway.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/Gateway.cpp
@@ -83,7 +83,7 @@
             SharedRetryBudget retryBudget({ m_settings.retryRatio, m_settings.retryWindow, m_settings.retryAllowance },
                 m_clock.now(), random.unit());
             m_context.emplace(GatewayContext { m_settings, m_translator, *m_loop, m_clock, *m_http, *m_store, m_log,
-                m_metrics, std::move(random), ConfigurationInForce(m_settings.keyTrust), {}, {},
+                m_metrics, random, ConfigurationInForce(m_settings.keyTrust), {}, {},
                 HostDirectory(m_settings.host, m_settings.dataCentre), {}, {}, std::move(retryBudget), {}, {} });
             m_requests.emplace(*m_context);
             m_peers.emplace(*m_context,
