--- a/packages/core/fuchsialb/src/Fleet/Recovery/SharedRetryBudget.cpp
+++ b/packages/core/fuchsialb/src/Fleet/Recovery/SharedRetryBudget.cpp
@@ -7,10 +7,9 @@
 
 namespace {
 
-    // Figures of other hosts are out of date by the time that beats take.
-    constexpr double usedFraction = 0.8;
-    // A host learns of changes in the number of others that it doesn't hear with a delay, and hosts have unequal loads.
-    constexpr double usedFractionUnheard = 0.7;
+    // Figures of other hosts are out of date by the time that beats take, and a host learns of changes in the number of
+    // hosts with a delay. The unused part keeps the total below the limit meanwhile.
+    constexpr double usedFraction = 0.7;
     // Part of the hosts that is heard usually, while some start again.
     constexpr double mostHosts = 0.75;
     // Time in which all hosts learn of a retry by beats, over cells and data centres.
@@ -18,10 +17,10 @@
     // The same for the hosts of one data centre.
     constexpr Duration nearbyNewsTime = std::chrono::milliseconds(800);
     // Part of what is free that all hosts may take at once.
-    constexpr double immediateFraction = 0.6;
+    constexpr double immediateFraction = 0.85;
     // Part for requests that wait. Both halves of a data centre may take it while they don't know yet that they are cut
     // off from each other.
-    constexpr double waitingFraction = 0.15;
+    constexpr double waitingFraction = 0.12;
     // Part of the allowance that a process has for a window after its start.
     constexpr double shareAtStart = 0.25;
 
@@ -31,7 +30,7 @@
         case SharedRetryBudget::Purpose::Resume:
             return 1;
         case SharedRetryBudget::Purpose::Repeat:
-            return 0.85;
+            return 0.9;
         case SharedRetryBudget::Purpose::Hedge:
             return 0.5;
         }
@@ -80,8 +79,7 @@
 double SharedRetryBudget::ownAllowed(const Account& account, const Fleet& fleet, TimePoint now) const
 {
     const double allowance = m_limits.allowance * share(now) / static_cast<double>(fleet.hosts);
-    const double fraction = fleet.hosts > 1 ? usedFractionUnheard : usedFraction;
-    return fraction * (m_limits.ratio * static_cast<double>(account.requests.size()) + allowance);
+    return usedFraction * (m_limits.ratio * static_cast<double>(account.requests.size()) + allowance);
 }
 
 double SharedRetryBudget::othersRetries(const TargetId& service, const Fleet& fleet) const
@@ -133,8 +131,7 @@
     const double shares = share(now) + nearby.shares + remote.shares;
     const double requests
         = static_cast<double>(account.requests.size()) + nearby.of(service).requests + remote.of(service).requests;
-    const double fraction = heard >= mostHosts * hosts ? usedFraction : usedFractionUnheard;
-    return fraction * (m_limits.ratio * requests + m_limits.allowance * shares / hosts);
+    return usedFraction * (m_limits.ratio * requests + m_limits.allowance * shares / hosts);
 }
 
 double SharedRetryBudget::wholeShare(double share, TimePoint now) const
@@ -144,7 +141,7 @@
     constexpr double goldenRatio = 0.618'033'988'75;
     double whole = 0;
     const double phase = std::modf(m_phase + goldenRatio * period, &whole);
-    return share < 1 ? std::floor(share + phase) : share;
+    return std::floor(share + phase);
 }
 
 void SharedRetryBudget::recordRequest(const TargetId& service, TimePoint now)
--- a/packages/core/fuchsialb/src/Fleet/Recovery/SharedRetryBudget.h
+++ b/packages/core/fuchsialb/src/Fleet/Recovery/SharedRetryBudget.h
@@ -20,7 +20,7 @@
 /// - Each host may take an equal share at once, within the time that news of retries take to all hosts. The sum over
 ///   all hosts is then within the budget, whatever they take meanwhile.
 /// - Answers under way that wait for a retry are reported in beats. Once the other hosts of the data centre know of
-///   them, the hosts that have any share a part that is kept for them.
+///   them, the hosts that have any share a further part.
 ///
 /// A host that doesn't hear most hosts of its data centre uses an equal share of the fixed allowance, and a ratio of
 /// its own requests: hosts that don't hear each other would use the same retries twice.
@@ -132,7 +132,7 @@
     double ownAllowed(const Account& account, const Fleet& fleet, TimePoint now) const;
     /// Takes a retry of those that all hosts may take at once, or of those for requests that wait.
     bool tryTakeShared(Account& account, const Request& request, const Fleet& fleet, TimePoint now) const;
-    /// Rounds a share of less than one retry up at some times, so that it is right on average over the hosts.
+    /// Rounds a share up at some times and hosts and down at others, so that it is right on average.
     double wholeShare(double share, TimePoint now) const;
 
     Limits m_limits;
