Name the time of a signal, and shorten the test of the retry budget

Read-through: the time from which a stop counts has a function of its own. core.FleetRetryBudgetTest took 46 s in Release and over six minutes under the address sanitizer without an end.

--- a/packages/core/fuchsialb/src/Fleet/Recovery/SharedRetryBudget.cpp
+++ b/packages/core/fuchsialb/src/Fleet/Recovery/SharedRetryBudget.cpp
@@ -103,11 +103,13 @@
     }
     for (const auto& [service, before] : m_seen) {
         const double change = seen[service] - before;
-        std::deque<LostRetries>& lost = m_lost[service];
         if (hosts < m_seenHosts && change < 0)
-            lost.push_back({ now, -change });
+            m_lost[service].push_back({ now, -change });
+        if (hosts <= m_seenHosts || !m_lost.contains(service))
+            continue;
+        std::deque<LostRetries>& lost = m_lost[service];
         // Those that are heard again bring their retries with them.
-        for (double back = hosts > m_seenHosts ? change : 0; back > 0 && !lost.empty(); lost.pop_back()) {
+        for (double back = change; back > 0 && !lost.empty(); lost.pop_back()) {
             if (lost.back().count > back) {
                 lost.back().count -= back;
                 break;
--- a/packages/gateway/fuchsialb/src/Gateway/Gateway.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/Gateway.cpp
@@ -260,15 +260,23 @@
             if (m_context->stopping)
                 return;
             m_context->stopping = true;
-            // A process that was held up notices the signal late, and the grace time counts from the signal.
-            const TimePoint now = m_clock.now();
-            const bool wasHeldUp = now - m_tickedAt > maxTickGap || now - m_heldUpUntil < requestTickPeriod;
-            const TimePoint earliest = now - m_tickedAt > maxTickGap ? m_tickedAt : m_heldUpSince;
-            m_context->stoppingSince = wasHeldUp ? std::max(earliest, now - maxSignalDelay) : now;
+            m_context->stoppingSince = earliestSignalTime(m_clock.now());
             m_log.log(LogLine("stopping").add("open_requests", static_cast<std::int64_t>(m_requests->openCount())));
             m_storeSession->unregisterHost();
         }
 
+        /// \return When a signal that is noticed now may have come: a process that was held up notices it late, before
+        /// or
+        ///     after its first tick.
+        TimePoint earliestSignalTime(TimePoint now) const
+        {
+            const bool isFirstEvent = now - m_tickedAt > maxTickGap;
+            const bool hasJustTicked = now - m_heldUpUntil < requestTickPeriod;
+            if (!isFirstEvent && !hasJustTicked)
+                return now;
+            return std::max(isFirstEvent ? m_tickedAt : m_heldUpSince, now - maxSignalDelay);
+        }
+
         /// Calls an action now and again at an interval, also after an exception.
         void repeat(asio::steady_timer& timer, Duration interval, void (SingleLoopGateway::*action)())
         {
