--- a/review/support-2/standins.py
+++ b/review/support-2/standins.py
@@ -240,6 +240,7 @@
         self.id = id or f"i-{os.urandom(5).hex()}"
         self.store, self.service, self.run, self.zone, self.slots = store, service, run, zone, slots
         self.state, self.born, self.more = "ready", int(time.time() * 1000), more or {}
+        self.has_crashed = False
         self.server = Server(self.serve, port)
 
     async def start(self):
