--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,7 +1,6 @@
 """One part of long prompts crashes each runner that begins to answer; counts the requests that still reach runners."""
 import asyncio
 import pathlib
-import random
 import sys
 
 FOLDER = pathlib.Path(__file__).resolve().parent
