Count requests that are lost when unreadable entries end the daemon

Cause: the rule is about lost answers, and the case only compared the daemon's memory with its machine's. Change: the script kills the daemon above its memory, as the platform does, and counts requests of sound runners without an answer. The stand-ins get a service of sound runners with callers that keep their connections.

--- a/review/support-2/standins.py
+++ b/review/support-2/standins.py
@@ -7,11 +7,11 @@
 import json
 import os
 import pathlib
+import random
 import re
 import signal
 import socket
 import subprocess
-import sys
 import tempfile
 import time
 import tomllib
@@ -331,9 +331,10 @@
         return self.process.poll() is None
 
     def memory(self, field):
-        """Returns a field of the process's status in MB, such as VmHWM."""
+        """Returns a field of the process's status in MB, such as VmRSS; 0 if the process has ended."""
         text = pathlib.Path(f"/proc/{self.process.pid}/status").read_text()
-        return int(re.search(rf"^{field}:\s+(\d+)", text, re.M).group(1)) / 1024
+        found = re.search(rf"^{field}:\s+(\d+)", text, re.M)
+        return int(found.group(1)) / 1024 if found else 0
 
     def end(self):
         if self.process and self.is_running():
@@ -397,6 +398,79 @@
             self.writer = None
 
 
+class SoundService:
+    """A plain service of sound runners, and callers that keep their connections and send requests that run once.
+
+    `lost` holds the ids of requests that a runner got, and whose connection ended without an answer.
+    """
+
+    ROUTE = {"name": "file", "host": "desk.example", "prefix": "/file/", "service": "desk", "kind": "unsafe",
+        "timeoutMs": 1500, "targetLatencyMs": 300, "maxAttempts": 1, "priority": 2}
+    SERVICE = {"name": "desk", "healthPath": "/health"}
+    RUNNERS, CALLERS, WORK_S = 3, 12, (0.2, 0.4)
+
+    def __init__(self, store, record):
+        self.store, self.record, self.ran, self.lost, self.answered, self.tasks = store, record, set(), [], 0, []
+
+    async def start(self):
+        for _ in range(self.RUNNERS):
+            await Runner(self.store, "desk", self.run, slots=6).start()
+        return self
+
+    async def run(self, runner, request, reader, writer):
+        self.ran.add(request.headers["request-id"])
+        self.record(f"runner {runner.id} runs {request.headers['request-id']}")
+        await asyncio.sleep(random.uniform(*self.WORK_S))
+        writer.write(response_bytes(200, runner.headers(request), b"y" * 800))
+        await writer.drain()
+        return True
+
+    def call(self, daemon):
+        self.tasks = [asyncio.create_task(self.caller(daemon)) for _ in range(self.CALLERS)]
+
+    async def caller(self, daemon):
+        connection, answers = Client(daemon.front), 0
+        while daemon.is_running():
+            id = request_id()
+            try:
+                await connection.send("POST", "/file/x", {"Host": "desk.example", "Request-Id": id,
+                    "Deadline": "3000"}, b"x" * 600)
+                answer = await connection.read()
+                answers += 1
+                self.answered += 1
+                self.record(f"caller of {id} got {answer.status}")
+                if answer.headers.get("connection") == "close" or not answer.whole:
+                    connection.close()
+            except (OSError, EOFError) as failure:
+                connection.close()
+                if id in self.ran and answers > 0:
+                    self.lost.append(id)
+                self.record(f"caller of {id} got no answer ({failure!r}); it {'ran' if id in self.ran else 'did not run'}")
+            await asyncio.sleep(0.02)
+
+    async def finish(self):
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        self.record(f"sound service: {self.answered} requests were answered, {len(self.lost)} ran and got no answer")
+
+
+async def enforce_memory(daemon, record):
+    """Kills the daemon when its resident memory has exceeded that of its machine, as the platform does."""
+    highest = 0
+    while daemon.is_running():
+        memory = daemon.memory("VmHWM")
+        if memory >= highest + 5:
+            highest = memory
+            record(f"the daemon has taken {memory:.0f} MB")
+        if memory > daemon.memory_mb:
+            record(f"the daemon has taken {memory:.0f} MB of {daemon.memory_mb} MB and is killed")
+            daemon.process.kill()
+            daemon.process.wait()
+            return
+        await asyncio.sleep(0.01)
+
+
 def configuration(version, routes, services, tenants=None, limits=None):
     text = {"version": version, "routes": routes, "services": services,
         "limits": limits or {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 5000,
@@ -420,9 +494,10 @@
             broken = asyncio.run(asyncio.wait_for(case(record, temporary, trouble), 115))
     except (CannotRun, asyncio.TimeoutError, OSError) as failure:
         record(f"could not run: {failure!r}")
-        print(f"could not run: {failure!r}")
-        sys.exit(2)
+        print(f"could not run: {failure!r}", flush=True)
+        os._exit(2)
     verdict = f"the rule was broken: {broken}" if broken else "the rule held"
     record(verdict)
-    print(verdict)
-    sys.exit(1 if broken else 0)
+    print(verdict, flush=True)
+    # Connections that are still open then aren't reported one by one.
+    os._exit(1 if broken else 0)
