--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,4 +1,4 @@
-"""Half of the runners send heads without end; requests to sound runners are lost."""
+"""A runner falls silent in mid-stream and answers inquiries with junk; requests to sound runners are lost."""
 import asyncio
 import pathlib
 import sys
@@ -9,53 +9,43 @@
 
 MEMORY_MB = 182
 ALLOWED = 3
-SLOTS = 192
-STREAMS = 120
-EVENTS = 30
+STREAMS = 20
+EVENTS = 40
 EVENT_PERIOD_S = 0.05
-# Bytes of one write of a runner whose head doesn't end, and the time to the next one.
-FIELDS = b"a:b\r\n" * 4096
-PERIOD_S = 0.05
+SILENCE_S = 4
+JUNK = b"[" * 4_000_000
 
 
 async def main(record, folder, trouble):
     store = await Store().start()
-    broken_runners = set()
+
+    class FaultyRunner(Runner):
+        async def serve(self, request, reader, writer):
+            if request.path != "/v1/report":
+                return await super().serve(request, reader, writer)
+            record(f"runner {self.id} answers an inquiry with {len(JUNK)} bytes that are no report")
+            writer.write(response_bytes(200, {"Content-Type": "application/json"}, JUNK))
+            await writer.drain()
+            return True
 
     async def stream(runner, request, reader, writer):
         id = request.headers["request-id"]
         first = int(request.headers.get("last-event-id", "0")) + 1
         record(f"runner {runner.id} runs {id} from event {first}")
-        if runner.id in broken_runners:
-            await send_endless_head(runner, request, writer)
-            return False
         writer.write(response_bytes(200, runner.headers(request, **{"Content-Type": "text/event-stream",
             "Transfer-Encoding": "chunked"})))
         for number in range(first, EVENTS + 1):
             event = b"id: %d\ndata: token\n\n" % number
             writer.write(b"%x\r\n%b\r\n" % (len(event), event))
             await writer.drain()
-            await asyncio.sleep(EVENT_PERIOD_S)
+            faulty = isinstance(runner, FaultyRunner) and number == 5
+            await asyncio.sleep(SILENCE_S if faulty else EVENT_PERIOD_S)
         writer.write(b"0\r\n\r\n")
         await writer.drain()
         return True
 
-    async def send_endless_head(runner, request, writer):
-        head = "\r\n".join(f"{name}: {value}" for name, value in runner.headers(request).items())
-        writer.write(f"HTTP/1.1 200 OK\r\n{head}\r\n".encode())
-        sent = 0
-        try:
-            while not writer.transport.is_closing():
-                writer.write(FIELDS)
-                sent += len(FIELDS)
-                await writer.drain()
-                await asyncio.sleep(PERIOD_S)
-        finally:
-            record(f"runner {runner.id} sent {sent} bytes of a head for {request.headers['request-id']}")
-
-    runners = [await Runner(store, "lm", stream, slots=SLOTS).start() for _ in range(2)]
-    if trouble:
-        broken_runners.add(runners[0].id)
+    await (FaultyRunner if trouble else Runner)(store, "lm", stream).start()
+    await Runner(store, "lm", stream).start()
     route = {"name": "draft", "host": "draft.example", "prefix": "/draft/", "service": "lm", "kind": "streaming",
         "resumable": True, "timeoutMs": 20000, "targetLatencyMs": 500, "targetGapMs": 200, "maxAttempts": 2,
         "priority": 0}
