--- a/review/7/case.py
+++ b/review/7/case.py
@@ -18,7 +18,7 @@
 TRAFFIC_S = 30.0
 # Parts that requests share, in order, before the part of their own.
 COMMON_PARTS = [f"c0ffee{number:02x}" for number in range(20)]
-HARMFUL_PART = "5e1c07a2"
+HARMFUL_PART = "bad0beef"
 ALLOWED = 3
 
 
--- a/review/support-2/standins.py
+++ b/review/support-2/standins.py
@@ -18,7 +18,7 @@
 import urllib.parse
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
-SEAL = "3e1b.07.5a2.600.0.c9f2a4d1"
+SEAL = "c4.19.stand-in"
 REASONS = {200: "OK", 202: "Accepted", 404: "Not Found", 409: "Conflict", 410: "Gone", 412: "Precondition Failed",
     421: "Misdirected Request", 500: "Internal Server Error", 503: "Service Unavailable"}
 
@@ -492,7 +492,7 @@
     try:
         with tempfile.TemporaryDirectory() as temporary:
             broken = asyncio.run(asyncio.wait_for(case(record, temporary, trouble), 115))
-    except (CannotRun, asyncio.TimeoutError, OSError) as failure:
+    except Exception as failure:  # An error of the script itself says nothing of the rule.
         record(f"could not run: {failure!r}")
         print(f"could not run: {failure!r}", flush=True)
         os._exit(2)
