Bound the changes that a directory keeps by their cost, and cut entries to what is read

Cause: DirectoryView kept 1,024 changes whatever their size, and each registry entry as it was written.

Hosts' entries and keys beside that of the configuration are treated alike.

--- a/packages/core/fuchsialb/src/Fleet/Directory/DirectoryView.cpp
+++ b/packages/core/fuchsialb/src/Fleet/Directory/DirectoryView.cpp
@@ -3,6 +3,7 @@
 #include "../../Base/Hash.h"
 
 #include <algorithm>
+#include <numeric>
 #include <set>
 #include <string_view>
 #include <utility>
@@ -11,8 +12,9 @@
 
 namespace {
 
-    // Changes kept for hosts that are behind. A host that is further behind reads the store.
-    constexpr std::size_t maxKeptChanges = 1024;
+    // Memory of the changes kept for hosts that are behind, and so of those that one beat carries. A host that is
+    // further behind reads the store.
+    constexpr std::int64_t maxKeptBytes = 524'288;
     // A host whose version is older than that of another one gets the changes within a few beats, or has to read them.
     constexpr Duration maxBehind = std::chrono::milliseconds(900);
     // One host with other content makes all hosts that hear it list the prefix, at most this often.
@@ -24,6 +26,22 @@
 
 } // namespace
 
+std::uint64_t KeyItem::valueHash() const { return writtenHash.value_or(hash64(value)); }
+
+void KeyItem::reduceTo(std::string readPart)
+{
+    writtenHash = valueHash();
+    value = std::move(readPart);
+}
+
+Bytes KeyItem::cost() const { return Bytes(static_cast<std::int64_t>(sizeof(KeyItem) + key.size() + value.size())); }
+
+std::int64_t DirectoryView::Batch::cost() const
+{
+    return std::accumulate(changes.begin(), changes.end(), static_cast<std::int64_t>(sizeof(Batch)),
+        [](std::int64_t sum, const KeyItem& change) { return sum + change.cost().value(); });
+}
+
 bool DirectoryView::isRecent(Duration bootNow, Duration limit) const
 {
     const bool behind = m_behindSince != Duration(0) && bootNow - m_behindSince >= maxBehind;
@@ -44,7 +62,7 @@
     for (const KeyItem& item : items) {
         listed.insert(item.key);
         const auto known = m_keys.find(item.key);
-        if (known == m_keys.end() || known->second != hash64(item.value))
+        if (known == m_keys.end() || known->second != item.valueHash())
             changes.push_back(item);
     }
     for (const auto& [key, hash] : m_keys) {
@@ -69,7 +87,7 @@
         removeKey(change.key);
         if (change.removed)
             continue;
-        const std::uint64_t valueHash = hash64(change.value);
+        const std::uint64_t valueHash = change.valueHash();
         m_keys.emplace(change.key, valueHash);
         // The order of the keys doesn't matter, so the digest is kept up to date by each change.
         m_digest = ContentDigest(m_digest.value() ^ hash64(change.key, valueHash));
@@ -112,7 +130,7 @@
     // The view was wrong, so were the changes that led to it.
     if (asOf == m_version && !changes.empty()) {
         m_batches.clear();
-        m_keptChanges = 0;
+        m_keptBytes = 0;
     }
     recordBatch({ m_version, asOf, std::move(changes), true }, provenAt);
     return true;
@@ -142,10 +160,15 @@
         m_batches.back().to = batch.to;
         return;
     }
-    m_keptChanges += batch.changes.size() + 1;
+    keep(std::move(batch));
+}
+
+void DirectoryView::keep(Batch batch)
+{
+    m_keptBytes += batch.cost();
     m_batches.push_back(std::move(batch));
-    while (m_keptChanges > maxKeptChanges) {
-        m_keptChanges -= m_batches.front().changes.size() + 1;
+    while (m_keptBytes > maxKeptBytes) {
+        m_keptBytes -= m_batches.front().cost();
         m_batches.pop_front();
     }
 }
--- a/packages/core/fuchsialb/src/Fleet/Directory/DirectoryView.h
+++ b/packages/core/fuchsialb/src/Fleet/Directory/DirectoryView.h
@@ -18,6 +18,15 @@
     std::string key;
     std::string value;
     bool removed = false;
+    /// Hash of the value as it was written, if `value` is only the part of it that is read.
+    std::optional<std::uint64_t> writtenHash {};
+
+    /// \return Hash of the value as it was written.
+    std::uint64_t valueHash() const;
+    /// Keeps of the value only what is read of it.
+    void reduceTo(std::string readPart);
+    /// \return The memory that the item takes.
+    Bytes cost() const;
 
     bool operator==(const KeyItem&) const = default;
 };
@@ -81,6 +90,9 @@
     /// Forgets a view of an era before `era`, so that it is read anew.
     void reset(StoreEra era, Duration bootNow);
 
+    /// \return The memory of the changes that are kept for hosts that are behind.
+    Bytes keptBytes() const { return Bytes(m_keptBytes); }
+
     /// \brief Takes the update of another host if it continues this view.
     /// \param echoedAt Boot time of this host after which the update was sent.
     /// \return Whether the changes of the update have to be applied.
@@ -99,6 +111,8 @@
         std::vector<KeyItem> changes;
         /// As in `DirectoryUpdate`.
         bool isDifference = false;
+
+        std::int64_t cost() const;
     };
 
     /// Changes from the keys that this view knows to those of a listing.
@@ -106,6 +120,7 @@
     void applyToKeys(const std::vector<KeyItem>& changes);
     void removeKey(const std::string& key);
     void recordBatch(Batch batch, Duration provenAt);
+    void keep(Batch batch);
     void recordProof(Duration provenAt);
     /// Compares the view with that of another host at the same version.
     void compareDigest(ContentDigest digest, Duration bootNow);
@@ -127,7 +142,7 @@
     /// Hash of the value of each key.
     std::map<std::string, std::uint64_t> m_keys;
     std::deque<Batch> m_batches;
-    std::size_t m_keptChanges = 0;
+    std::int64_t m_keptBytes = 0;
 };
 
 } // namespace fuchsialb
--- a/packages/core/tests/FleetDirectoryContentTest.cpp
+++ b/packages/core/tests/FleetDirectoryContentTest.cpp
@@ -14,6 +14,8 @@
 using Items = std::vector<KeyItem>;
 
 constexpr int stepsPerRun = 3000;
+/// Bytes of the largest value that the store takes.
+constexpr std::size_t largestValue = 1'048'576;
 
 /// Does one thing at random.
 void step(DirectoryWorld& world, std::mt19937& random)
@@ -199,3 +201,63 @@
         CHECK(view.isSettled(22500ms));
     }
 }
+
+// Guards against memory that grows with the size of the values, not with the number of changes.
+TEST_CASE("Changes are kept for hosts that are behind as long as they take little memory")
+{
+    const Bytes bound { largestValue };
+    DirectoryView view;
+    view.recordSnapshot(StoreEra(1), KeyVersion(1), 1s, { { "a", "1", false } });
+
+    SECTION("however large the values are")
+    {
+        const std::size_t size = GENERATE(std::size_t(100), std::size_t(10'000), largestValue);
+        for (std::uint64_t version = 2; version < 40; ++version) {
+            const std::string value(size, static_cast<char>('a' + version % 26));
+            view.recordChanges(StoreEra(1), { { "b", value, false } }, KeyVersion(version), 1s);
+            CHECK(view.keptBytes() < bound);
+        }
+        CHECK(view.version() == KeyVersion(39));
+    }
+
+    SECTION("also if a listing is far from the view")
+    {
+        std::vector<KeyItem> items;
+        for (int i = 0; i < 5000; ++i)
+            items.push_back({ std::to_string(i), std::string(300, 'x'), false });
+        view.recordSnapshot(StoreEra(1), KeyVersion(2), 1s, items);
+        CHECK(view.keptBytes() < bound);
+    }
+}
+
+// Guards against hosts that hold other content after one of them has kept a part of a value only.
+TEST_CASE("A value that is reduced to what is read of it counts as the one that was written")
+{
+    const std::string written(5000, 'x');
+    KeyItem reduced { "a", written, false };
+    reduced.reduceTo("read");
+    DirectoryView whole;
+    DirectoryView partial;
+    whole.recordSnapshot(StoreEra(1), KeyVersion(10), 1s, { { "a", written, false } });
+    partial.recordSnapshot(StoreEra(1), KeyVersion(10), 1s, { reduced });
+    CHECK(whole.digest() == partial.digest());
+
+    SECTION("also when it is passed on to a host that is behind")
+    {
+        DirectoryView behind;
+        behind.recordSnapshot(StoreEra(1), KeyVersion(9), 1s, {});
+        DirectoryView sender;
+        sender.recordSnapshot(StoreEra(1), KeyVersion(9), 1s, {});
+        sender.recordChanges(StoreEra(1), { reduced }, KeyVersion(10), 1s);
+        CHECK(behind.accept(sender.updateFor(StoreEra(1), KeyVersion(9), true, 1s), 1s));
+        CHECK(behind.digest() == whole.digest());
+    }
+
+    SECTION("and a listing with the same value is no change")
+    {
+        partial.recordSnapshot(StoreEra(1), KeyVersion(11), 2s, { { "a", written, false } });
+        const auto update = partial.updateFor(StoreEra(1), KeyVersion(10), true, 2s);
+        CHECK(update.from == KeyVersion(10));
+        CHECK(update.changes.empty());
+    }
+}
--- a/packages/gateway/fuchsialb/src/Gateway/PrefixWatcher.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/PrefixWatcher.cpp
@@ -164,7 +164,7 @@
 {
     const Duration sentAt = bootTime();
     m_context.metrics.count("store_calls", "kind", "list-" + m_options.name);
-    m_context.store.list(m_options.prefix, freshness,
+    m_context.store.list(m_options.range, freshness,
         [this, sentAt](absl::StatusOr<KeyListing> listing) { handleListing(std::move(listing), sentAt); });
 }
 
@@ -193,7 +193,7 @@
         timeout = std::clamp(m_relistAt - sentAt, minWatchTimeout, timeout);
     m_context.metrics.count("store_calls", "kind", "watch-" + m_options.name);
     m_context.store.watch(
-        m_options.prefix, version(), timeout, [this, sentAt, timeout](absl::StatusOr<KeyListing> listing) {
+        m_options.range, version(), timeout, [this, sentAt, timeout](absl::StatusOr<KeyListing> listing) {
             handleChanges(std::move(listing), sentAt, timeout);
         });
 }
--- a/packages/gateway/fuchsialb/src/Gateway/PrefixWatcher.h
+++ b/packages/gateway/fuchsialb/src/Gateway/PrefixWatcher.h
@@ -19,7 +19,7 @@
 public:
     struct Options {
         std::string name;
-        std::string prefix;
+        KeyRange range;
         /// \return Timeout of the next watch.
         std::function<Duration()> watchTimeout;
         /// From the start of one watch to the start of the next.
--- a/packages/gateway/fuchsialb/src/Gateway/StoreSession.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/StoreSession.cpp
@@ -2,11 +2,10 @@
 
 #include "DirectoryLog.h"
 
-#include <set>
-
-#include <nlohmann/json.hpp>
+#include "fuchsialb/Json.h"
 
 #include <algorithm>
+#include <set>
 
 namespace fuchsialb {
 
@@ -34,10 +33,13 @@
     constexpr Duration cellRelayTime = std::chrono::milliseconds(500);
     // When the store comes back from an older copy, what the operator has written is there again after this time.
     constexpr Duration rewriteTime = std::chrono::milliseconds(2200);
+    // Entries of hosts are far smaller.
+    constexpr std::size_t maxHostEntryBytes = 4096;
+
     /// \return The registration of a host, or nothing if the value is none.
     std::optional<RegisteredHost> parseHost(const HostId& id, const std::string& value)
     {
-        const json object = json::parse(value, nullptr, false);
+        const json object = parseJson(value);
         if (!object.is_object())
             return std::nullopt;
         const auto text = [&](const char* name) {
@@ -49,13 +51,33 @@
         return RegisteredHost { id, DataCentreId(text("data_centre")), text("address") };
     }
 
+    void keepHostEntry(KeyItem& item)
+    {
+        if (item.value.size() > maxHostEntryBytes)
+            item.reduceTo({});
+    }
+
+    KeyRange runnersRange(const Translator& translator)
+    {
+        return { translator.runnersPrefix(), [&translator](KeyItem& item) { translator.reduceRunnerEntry(item); } };
+    }
+
+    /// Other keys may begin with that of the configuration.
+    KeyRange configurationRange(const Translator& translator)
+    {
+        return { translator.configurationKey(), [key = translator.configurationKey()](KeyItem& item) {
+                    if (item.key != key)
+                        item.reduceTo({});
+                } };
+    }
+
 } // namespace
 
 StoreSession::StoreSession(GatewayContext& context, OnSharedKey onSharedKey)
     : m_context(context)
     , m_onSharedKey(std::move(onSharedKey))
     , m_configuration(context,
-          { "configuration", context.translator.configurationKey(),
+          { "configuration", configurationRange(context.translator),
               [this] {
                   return m_context.hosts.readsStoreFirst(m_context.now()) ? configurationSchedule().watchTimeout
                                                                           : secondWatchTimeout;
@@ -65,13 +87,14 @@
               applyConfiguration(listing, snapshot, provenAt);
           })
     , m_runners(context,
-          { "runners", context.translator.runnersPrefix(), [this] { return registrySchedule().watchTimeout; },
+          { "runners", runnersRange(context.translator), [this] { return registrySchedule().watchTimeout; },
               std::chrono::milliseconds(500),
               [this] { return needsWatch(m_context.runnersView, registrySchedule().maxAge); }, &context.runnersView,
               ReadFreshness::MayBeStale },
           [this](const KeyListing& listing, bool snapshot, Duration) { applyRunners(listing, snapshot); })
     , m_hosts(context,
-          { "hosts", std::string(hostsPrefix), [] { return hostsWatchTimeout; }, std::chrono::milliseconds(1500),
+          { "hosts", { std::string(hostsPrefix), keepHostEntry }, [] { return hostsWatchTimeout; },
+              std::chrono::milliseconds(1500),
               [this] { return needsWatch(m_context.hostsView, maxHostsAge + relayTimeOfCells()); },
               &context.hostsView },
           [this](const KeyListing& listing, bool snapshot, Duration) { applyHosts(listing, snapshot); })
@@ -114,6 +137,8 @@
         watcher->tick();
     removeMissingRunners();
     offerSharedKey();
+    const Bytes kept = m_context.runnersView.keptBytes() + m_context.hostsView.keptBytes();
+    m_context.metrics.set("kept_change_bytes", static_cast<double>(kept.value()));
     const ConfigurationRead read
         = m_refresh.next(m_context.configuration, heard, configurationSchedule().maxAge, bootTime());
     if (read != ConfigurationRead::None)
@@ -124,7 +149,7 @@
 {
     m_context.metrics.count("store_calls", "kind", "read-configuration");
     const bool isNewest = read == ConfigurationRead::Newest;
-    m_context.store.list(m_context.translator.configurationKey(),
+    m_context.store.list(configurationRange(m_context.translator),
         isNewest ? ReadFreshness::Newest : ReadFreshness::MayBeStale,
         [this, read, isNewest, sentAt = bootTime()](const absl::StatusOr<KeyListing>& listing) {
             const Duration now = bootTime();
--- a/packages/gateway/fuchsialb/src/Gateway/Translator.h
+++ b/packages/gateway/fuchsialb/src/Gateway/Translator.h
@@ -147,6 +147,8 @@
     virtual absl::StatusOr<RoutingTable> routingTable(std::string_view value) const = 0;
     /// \return `InvalidInput` if the entry doesn't describe a usable runner.
     virtual absl::StatusOr<RunnerEntry> runnerEntry(std::string_view key, std::string_view value) const = 0;
+    /// Reduces a registry entry to what `runnerEntry` reads of it, if it is long; to nothing if it can't be read.
+    virtual void reduceRunnerEntry(KeyItem& item) const = 0;
     /// \return The id of the runner that a registry key belongs to.
     virtual EndpointId runnerId(std::string_view key) const = 0;
 };
--- a/packages/net/fuchsialb/src/Net/CurlExchange.cpp
+++ b/packages/net/fuchsialb/src/Net/CurlExchange.cpp
@@ -121,6 +121,8 @@
 {
     if (!m_easy)
         return false;
+    if (m_request.maxBody > Bytes(0))
+        m_maxBody = std::min(m_maxBody, static_cast<std::size_t>(m_request.maxBody.value()));
     bool taken = true;
     const auto set
         = [&](CURLoption option, auto value) { taken = curl_easy_setopt(m_easy, option, value) == CURLE_OK && taken; };
--- a/packages/net/fuchsialb/src/Net/HttpClient.h
+++ b/packages/net/fuchsialb/src/Net/HttpClient.h
@@ -36,6 +36,8 @@
     bool sendOnce = false;
     /// Path and query to send as they are, in place of those of `url`; for requests that are passed on.
     std::string target {};
+    /// Largest body that is collected, within the limit of the client; 0 for no other limit than that.
+    Bytes maxBody { 0 };
 };
 
 struct HttpResponse {
--- a/packages/store/fuchsialb/src/Store/KeyValueService.h
+++ b/packages/store/fuchsialb/src/Store/KeyValueService.h
@@ -19,6 +19,13 @@
     StoreEra era {};
 };
 
+/// \brief The keys that begin with a prefix, and what is kept of their values.
+struct KeyRange {
+    std::string prefix;
+    /// Reduces an item to what is read of it, as soon as it has arrived; empty if all of it is.
+    std::function<void(KeyItem& item)> reduce {};
+};
+
 /// \brief How current the answer to a listing has to be.
 enum class ReadFreshness : unsigned char {
     Newest,
@@ -28,19 +35,19 @@
 
 /// \brief A key-value service with listings and watches of prefixes, leases and unconditional writes.
 ///
-/// Each call is followed by exactly one callback on the event loop. Failures are `StoreUnavailable`; nothing is retried
-/// here.
+/// Each call is followed by exactly one callback on the event loop. Failures are `StoreUnavailable`, or `BodyTooLarge`
+/// for a response that is longer than any sound one; nothing is retried here.
 class KeyValueService {
 public:
     using OnListing = std::function<void(absl::StatusOr<KeyListing>)>;
 
     virtual ~KeyValueService() = default;
 
-    /// Lists all keys of a prefix, page by page.
-    virtual void list(std::string prefix, ReadFreshness freshness, OnListing onListing) = 0;
+    /// Lists all keys of a range, page by page.
+    virtual void list(KeyRange range, ReadFreshness freshness, OnListing onListing) = 0;
     /// Answered with changes after `after` as soon as there are any, or with none after `wait`. Fails with
-    /// `StoreBehind` when the changes since `after` are no longer kept.
-    virtual void watch(std::string prefix, KeyVersion after, Duration wait, OnListing onListing) = 0;
+    /// `StoreBehind` when the changes since `after` are no longer kept, or too large for one answer.
+    virtual void watch(KeyRange range, KeyVersion after, Duration wait, OnListing onListing) = 0;
     /// Writes a key that lives as long as the lease. Fails with `StoreConflict` when the lease has ended.
     virtual void put(std::string key, std::string value, LeaseId lease, std::function<void(absl::Status)> onPut) = 0;
     /// Writes a key without a lease unless it exists. Fails with `StoreConflict` when it does.
--- a/packages/wire/fuchsialb/src/Wire/PeerMessageDecode.cpp
+++ b/packages/wire/fuchsialb/src/Wire/PeerMessageDecode.cpp
@@ -328,7 +328,8 @@
             return to;
         for (const wire::KeyItem& change : from.changes())
             to.changes.push_back({ in.text(change.key(), internal::maxKeyBytes, "directory.key"),
-                in.text(change.value(), internal::maxValueBytes, "directory.value"), change.removed() });
+                in.text(change.value(), internal::maxValueBytes, "directory.value"), change.removed(),
+                change.has_written_hash() ? std::optional(change.written_hash()) : std::nullopt });
         return to;
     }
 
--- a/packages/wire/fuchsialb/src/Wire/PeerMessageEncode.cpp
+++ b/packages/wire/fuchsialb/src/Wire/PeerMessageEncode.cpp
@@ -153,6 +153,8 @@
             added.set_key(change.key);
             added.set_value(change.value);
             added.set_removed(change.removed);
+            if (change.writtenHash)
+                added.set_written_hash(*change.writtenHash);
         }
     }
 
--- a/packages/wire/tests/support/PeerMessages.cpp
+++ b/packages/wire/tests/support/PeerMessages.cpp
@@ -66,7 +66,8 @@
         DirectoryUpdate drawn { StoreEra(below(anyNumber)), KeyVersion(below(anyNumber)),
             ContentDigest(below(anyNumber)), duration(below), KeyVersion(below(anyNumber)), {}, below(2) == 1 };
         for (std::uint64_t i = below(3); i > 0; --i)
-            drawn.changes.push_back({ id(below), raw(below), below(2) == 1 });
+            drawn.changes.push_back({ id(below), raw(below), below(2) == 1,
+                below(2) == 1 ? std::optional(below(anyNumber)) : std::nullopt });
         return drawn;
     }
 
