Parse most other JSON of others within a limit of its tree

Change: the platform's configuration, endpoints, the store of the product's own interface, its requests, and settings use parseJson() with its limits of 16 MiB and 64 levels. Not changed: configuration documents of the product's own interface (ConfigurationCodec), whose largest valid tree isn't known yet, and what the command-line client reads.

Measured: the tests of these readers pass unchanged.

--- a/packages/daemon/fuchsialb/src/Daemon/RequestReader.cpp
+++ b/packages/daemon/fuchsialb/src/Daemon/RequestReader.cpp
@@ -1,8 +1,9 @@
 #include "RequestReader.h"
 
+#include "fuchsialb/Json.h"
+
 #include <absl/strings/numbers.h>
 #include <fmt/format.h>
-#include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <cctype>
@@ -81,7 +82,7 @@
     {
         if (from.method != "POST")
             return invalid("method", from.method, "POST");
-        const json body = json::parse(from.body, nullptr, false);
+        const json body = parseJson(from.body);
         if (!body.is_object())
             return invalid("body", from.body, "a JSON object");
         const auto model = body.find("model");
--- a/packages/endpoint/fuchsialb/src/Endpoint/EndpointJson.cpp
+++ b/packages/endpoint/fuchsialb/src/Endpoint/EndpointJson.cpp
@@ -1,6 +1,6 @@
 #include "EndpointJson.h"
 
-#include <nlohmann/json.hpp>
+#include "fuchsialb/Json.h"
 
 #include <algorithm>
 
@@ -73,7 +73,7 @@
 
 absl::StatusOr<RunEvent> parseRunEvent(std::string_view data)
 {
-    const json event = json::parse(data, nullptr, false);
+    const json event = parseJson(data);
     if (!event.is_object())
         return error(Reason::MalformedMessage, "the event of a run is not a JSON object");
     if (event.contains("done"))
@@ -95,7 +95,7 @@
 
 absl::StatusOr<LoadReport> parseLoad(const EndpointId& endpoint, const HttpResponse& response)
 {
-    const json load = json::parse(response.body, nullptr, false);
+    const json load = parseJson(response.body);
     if (response.status != 200 || !load.is_object())
         return error(Reason::MalformedMessage, "the load report is not a JSON object");
     LoadReport report;
@@ -110,7 +110,7 @@
     const EndpointId& endpoint, const HttpResponse& response, std::uint64_t& sequence)
 {
     std::vector<CacheChanged> changes;
-    const json body = json::parse(response.body, nullptr, false);
+    const json body = parseJson(response.body);
     if (response.status != 200 || !body.is_object() || !body.contains("events") || !body["events"].is_array())
         return changes;
     for (const json& event : body["events"]) {
--- a/packages/gateway/fuchsialb/src/Gateway/GatewaySettings.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/GatewaySettings.cpp
@@ -1,8 +1,9 @@
 #include "GatewaySettings.h"
 
+#include "fuchsialb/Json.h"
+
 #include <absl/strings/numbers.h>
 #include <fmt/format.h>
-#include <nlohmann/json.hpp>
 
 #include <cstdlib>
 #include <fstream>
@@ -127,7 +128,7 @@
 
 absl::StatusOr<GatewaySettings> GatewaySettings::parse(std::string_view text, const MachineLimits& machine)
 {
-    const json object = json::parse(text, nullptr, false);
+    const json object = parseJson(text);
     if (!object.is_object())
         return error(Reason::InvalidInput, "gateway settings are not a JSON object");
     FieldReader reader(object);
--- a/packages/store/fuchsialb/src/Store/StoreProtocol.cpp
+++ b/packages/store/fuchsialb/src/Store/StoreProtocol.cpp
@@ -1,8 +1,9 @@
 #include "StoreProtocol.h"
 
+#include "fuchsialb/Json.h"
+
 #include <absl/strings/numbers.h>
 #include <fmt/format.h>
-#include <nlohmann/json.hpp>
 
 #include <utility>
 
@@ -129,7 +130,7 @@
 
 std::optional<WatchState> parseWatch(const HttpResponse& response, std::string_view key)
 {
-    const json body = json::parse(response.body, nullptr, false);
+    const json body = parseJson(response.body);
     const auto revision = number(body, "revision");
     const json* changes = list(body, "changes");
     if (response.status != status::ok || !revision || !changes)
@@ -147,7 +148,7 @@
 {
     if (response.status != status::ok)
         return unexpected(response, "the list");
-    const json body = json::parse(response.body, nullptr, false);
+    const json body = parseJson(response.body);
     const json* entries = list(body, "keys");
     if (!entries)
         return malformed("a list of keys");
@@ -166,7 +167,7 @@
 {
     if (response.status != status::ok)
         return unexpected(response, "the lease");
-    const auto lease = number(json::parse(response.body, nullptr, false), "lease");
+    const auto lease = number(parseJson(response.body), "lease");
     if (!lease || *lease == 0)
         return malformed("a lease");
     return LeaseId(*lease);
@@ -176,7 +177,7 @@
 {
     if (response.status != status::ok)
         return unexpected(response, "the host list");
-    const json body = json::parse(response.body, nullptr, false);
+    const json body = parseJson(response.body);
     if (!body.is_array())
         return malformed("a list of hosts");
     std::vector<ListedHost> hosts;
