Let all shared parts of a prompt be evidence of a crash

Change: parts are known by numbers of 64 bits; reports name those that are still suspect, 4,096 in all, and merge by intersection; reports go out at once when one is added.

--- a/packages/core/fuchsialb/Base.h
+++ b/packages/core/fuchsialb/Base.h
@@ -7,6 +7,7 @@
 #include "src/Base/Hash.h"
 #include "src/Base/Ids.h"
 #include "src/Base/Outcome.h"
+#include "src/Base/PromptPartId.h"
 #include "src/Base/Random.h"
 #include "src/Base/Rank.h"
 #include "src/Base/Reason.h"
--- a/packages/core/fuchsialb/src/Base/Ids.h
+++ b/packages/core/fuchsialb/src/Base/Ids.h
@@ -65,9 +65,6 @@
 using AcceleratorKindId = internal::StrongId<struct AcceleratorKindTag, std::string>;
 using LinkClassId = internal::StrongId<struct LinkClassTag, std::string>;
 
-/// A part of a prompt, as its caller names it; requests whose prompts share the part name the same id.
-using PromptPartId = internal::StrongId<struct PromptPartTag, std::string>;
-
 /// Drawn by the entry daemon, one for each call of a caller.
 using RequestId = internal::StrongId<struct RequestTag, Bits128>;
 /// Drawn by the scheduler daemon, one for each dispatch of a request.
--- a/packages/core/fuchsialb/src/Fleet/Beats/BeatExchange.cpp
+++ b/packages/core/fuchsialb/src/Fleet/Beats/BeatExchange.cpp
@@ -85,7 +85,8 @@
         beat.leavingRunners = m_state.runners.leavingAheadOfRegistry();
     beat.rateLimits = currentRateLimits(now);
     addDirectories(beat, peer, distance(to), now, bootNow);
-    beat.crashDigest = peer.crashDigestSent = m_state.crashes.digest();
+    beat.crashDigest = m_state.crashes.digest();
+    peer.crashesSent = m_state.crashes.additions();
     if (peer.crashDigest != beat.crashDigest)
         beat.crashes = m_state.crashes.reports(now);
     return beat;
@@ -198,7 +199,7 @@
     std::vector<Outgoing> beats;
     for (const HostId& id : recipients(now)) {
         Peer& peer = m_peers[id];
-        const bool hasNewCrash = peer.crashDigestSent != m_state.crashes.digest();
+        const bool hasNewCrash = peer.crashesSent != m_state.crashes.additions();
         if (now < peer.nextBeatAt && !hasNewCrash)
             continue;
         peer.nextBeatAt = now + (m_state.hosts.isLocal(id) ? localBeatPeriod : remoteBeatPeriod);
--- a/packages/core/fuchsialb/src/Fleet/Beats/BeatExchange.h
+++ b/packages/core/fuchsialb/src/Fleet/Beats/BeatExchange.h
@@ -117,7 +117,8 @@
         TimePoint configurationSentAt {};
         /// Digest of the crash reports that the peer has, and of those of this host in the last beat to it.
         std::uint64_t crashDigest = 0;
-        std::uint64_t crashDigestSent = 0;
+        /// Reports of crashes that had been added when the last beat was sent.
+        std::uint64_t crashesSent = 0;
     };
 
     enum class Distance : unsigned char {
--- a/packages/core/fuchsialb/src/Fleet/Recovery/CrashEvidence.h
+++ b/packages/core/fuchsialb/src/Fleet/Recovery/CrashEvidence.h
@@ -3,6 +3,8 @@
 #include "AnswerCounter.h"
 #include "CrashReport.h"
 
+#include <absl/container/flat_hash_map.h>
+
 #include <map>
 #include <optional>
 #include <set>
@@ -13,10 +15,10 @@
 /// \brief Evidence of parts of prompts under which runners end, and the parts that are quarantined for it.
 ///
 /// A request under which its runner ends would end one runner after another, and so would the other requests with the
-/// part of the prompt that is the cause. A report names the parts of a request that had not been answered when its
-/// runner ended; an answer to any later request with a part clears it. Hosts exchange their reports and come to the
-/// same reports, whatever the order in which these arrive. A report also tells how often its parts had been answered at
-/// the host that answered them most often.
+/// part of the prompt that is the cause. A report names all parts of the requests that had not been answered when their
+/// runner ended; an answer to any later request with a part removes it. Hosts exchange their reports and come to the
+/// same reports, whatever the order in which these arrive, since a part that one of them has removed is removed by all.
+/// A report also tells how often its parts had been answered at the host that answered them most often.
 ///
 /// A part is quarantined when enough crashes are reported for it. Requests that were at the same runner as the one at
 /// fault report the crash as well, so the parts are chosen as a small set that explains the crashes: first the part
@@ -42,6 +44,8 @@
         /// Time until a trial without an outcome is repeated.
         Duration trialTime { std::chrono::seconds(5) };
         std::size_t maxReports = 128;
+        /// Suspect parts of all reports together. Beyond it, those that are least likely the cause are removed.
+        std::size_t maxSuspects = 4096;
     };
 
     struct Quarantine {
@@ -65,6 +69,11 @@
     /// \return Whether that was unknown.
     bool recordCrash(const RunnerProcess& process, const TargetId& service, const std::vector<PromptPartId>& parts,
         TimePoint endedAt, TimePoint now);
+    /// Position of each shared part of the prompts of one or more requests, the largest one.
+    using PartPositions = std::map<PromptPartId, std::uint32_t>;
+    /// As `recordCrash`, for several requests at once.
+    bool recordCrashUnder(const RunnerProcess& process, const TargetId& service, const PartPositions& parts,
+        TimePoint endedAt, TimePoint now);
     /// \brief Adds the reports of another host.
     /// \return Whether any of them told something new.
     bool merge(const std::vector<CrashReport>& reports, TimePoint now);
@@ -73,6 +82,8 @@
     std::vector<CrashReport> reports(TimePoint now) const;
     /// \return The same value for the same reports, whatever their age; 0 without reports.
     std::uint64_t digest() const { return m_digest; }
+    /// \return The number of reports that have been added so far.
+    std::uint64_t additions() const { return m_additions; }
     /// Quarantined parts.
     const std::map<ServicePart, Quarantine>& quarantined() const { return m_quarantined; }
     /// \return The quarantine of one of the parts; null if none is quarantined.
@@ -88,7 +99,9 @@
     struct Report {
         RunnerProcess process;
         TargetId service;
-        std::vector<SuspectPart> parts;
+        /// As in `CrashReport`.
+        std::uint64_t id = 0;
+        std::vector<SuspectPart> suspects;
         TimePoint endedAt {};
     };
 
@@ -96,19 +109,27 @@
     struct Candidate {
         std::set<RunnerProcess> processes;
         std::uint32_t answerBits = 0;
-        /// Largest number of shared parts that precede it in a prompt.
-        std::size_t position = 0;
+        std::uint32_t position = 0;
     };
 
-    /// Adds a report or what it clears.
+    /// Numbers of processes, by `servicePartHash`.
+    using ProcessCounts = absl::flat_hash_map<std::uint64_t, std::size_t>;
+
+    /// Adds a report or what it removes.
     bool add(Report report);
+    /// Removes the report that tells least if there are too many.
     void limitReports();
+    void limitSuspects();
+    /// \return The number of processes that ended under each part.
+    ProcessCounts processCounts() const;
     /// Chooses the quarantined parts anew.
     void evaluate();
-    std::map<ServicePart, Candidate> candidates(const std::set<RunnerProcess>& explained) const;
+    /// \param counts As from `processCounts`.
+    std::map<ServicePart, Candidate> candidates(
+        const ProcessCounts& counts, const std::set<RunnerProcess>& explained) const;
     /// \return The number of crashes that the ends of the processes count as.
     std::size_t crashCount(const std::set<RunnerProcess>& processes) const;
-    std::uint32_t answerBits(const ServicePart& part) const;
+    std::uint32_t answerBits(const TargetId& service, PromptPartId part) const;
     std::size_t requiredCrashes(const Candidate& candidate) const;
 
     Limits m_limits;
@@ -121,6 +142,7 @@
     std::map<ServicePart, TimePoint> m_trials;
     AnswerCounter m_answers;
     std::uint64_t m_digest = 0;
+    std::uint64_t m_additions = 0;
 };
 
 } // namespace fuchsialb
--- a/packages/core/tests/FleetCrashEvidenceTest.cpp
+++ b/packages/core/tests/FleetCrashEvidenceTest.cpp
@@ -306,6 +306,103 @@
     }
 }
 
+// Guards against a harmful part that is never seen since the prompt has many others.
+SCENARIO("the part that ends runners is found wherever it stands in a long prompt")
+{
+    const std::size_t length = GENERATE(20U, 200U, 600U);
+    const std::size_t place = GENERATE(0U, 1U, 2U);
+    CAPTURE(length, place);
+    const std::size_t at = place * (length - 1) / 2;
+    TimePoint now { 100s };
+    Parts sound;
+    for (std::size_t i = 0; i < length; ++i)
+        sound.emplace_back("c0ffee" + std::to_string(i));
+    Parts harmful = sound;
+    harmful[at] = bad;
+
+    GIVEN("a host whose sound requests share the other parts")
+    {
+        CrashEvidence evidence;
+        for (int i = 0; i < 40; ++i)
+            evidence.recordAnswer(model, sound, now, now);
+
+        WHEN("runners end under requests with the part, and sound ones go on")
+        {
+            for (int i = 0; i < 2; ++i) {
+                now += 300ms;
+                evidence.recordCrash(process(i), model, harmful, now, now);
+            }
+
+            THEN("it is quarantined at the second crash, and nothing else is")
+            {
+                CHECK(isQuarantined(evidence, bad));
+                CHECK(evidence.quarantined().size() == 1);
+                CHECK(evidence.quarantine(model, sound) == nullptr);
+            }
+            AND_WHEN("a sound one has been answered since")
+            {
+                now += 100ms;
+                evidence.recordAnswer(model, sound, now, now);
+
+                THEN("the reports name the part alone")
+                {
+                    for (const CrashReport& report : evidence.reports(now)) {
+                        REQUIRE(report.suspects.size() == 1);
+                        CHECK(report.suspects.front().part == bad);
+                    }
+                }
+            }
+        }
+    }
+
+    GIVEN("hosts that have just started, each of which sees one crash")
+    {
+        FleetDataCentre dataCentre(5);
+        dataCentre.run(3s);
+        for (int i = 0; i < 2; ++i) {
+            Host& host = *dataCentre.hosts[static_cast<std::size_t>(i)];
+            host.crashes.recordCrash(process(i), model, harmful, dataCentre.now, dataCentre.now);
+            dataCentre.run(300ms);
+            host.crashes.recordAnswer(model, sound, dataCentre.now, dataCentre.now);
+        }
+
+        WHEN("a second has passed")
+        {
+            dataCentre.run(1s);
+
+            THEN("all of them have quarantined the part alone")
+            {
+                for (const auto& host : dataCentre.hosts) {
+                    CHECK(isQuarantined(host->crashes, bad));
+                    CHECK(host->crashes.quarantined().size() == 1);
+                }
+            }
+        }
+    }
+}
+
+// Guards against memory and messages that grow with hostile prompts, and against evidence that is lost for it.
+TEST_CASE("the number of suspect parts is bounded, and those of several crashes are kept")
+{
+    CrashEvidence evidence;
+    TimePoint now { 100s };
+    const std::size_t bound = CrashEvidence::Limits().maxSuspects;
+    for (int crash = 0; crash < 8; ++crash) {
+        now += 300ms;
+        Parts parts;
+        for (int i = 0; i < 1000; ++i)
+            parts.emplace_back(std::to_string(crash * 1000 + i));
+        parts[static_cast<std::size_t>(crash * 100)] = bad;
+        evidence.recordCrash(process(crash), model, parts, now, now);
+        std::size_t suspects = 0;
+        for (const CrashReport& report : evidence.reports(now))
+            suspects += report.suspects.size();
+        CHECK(suspects <= bound);
+    }
+    CHECK(isQuarantined(evidence, bad));
+    CHECK(evidence.quarantined().size() == 1);
+}
+
 // Guards against memory that grows with hostile prompts.
 TEST_CASE("the number of reports is bounded, and those that tell nothing any more go first")
 {
--- a/packages/gateway/fuchsialb/src/Gateway/CrashWatch.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/CrashWatch.cpp
@@ -9,8 +9,8 @@
     // Within this time a runner that crashed is back, or the registry has removed it.
     constexpr Duration caseLifetime = std::chrono::seconds(5);
     constexpr Duration reportTimeout = std::chrono::milliseconds(400);
-    // Further requests at the same runner tell little more.
-    constexpr std::size_t maxRequests = 64;
+    // Different parts of the prompts at one runner; some hundred of the longest ones.
+    constexpr std::size_t maxParts = 65'536;
 
     std::string_view findingName(CrashWatch::Finding finding)
     {
@@ -42,16 +42,19 @@
     const auto [found, isNew] = m_cases.try_emplace(process);
     Case& examined = found->second;
     // The runs that broke off before were not the reason for what happens now.
-    if (examined.finding == Finding::Alive)
-        examined.requests.clear();
-    const std::pair request { service, parts };
-    const bool isKnown
-        = std::find(examined.requests.begin(), examined.requests.end(), request) != examined.requests.end();
-    if (!isKnown && examined.requests.size() < maxRequests)
-        examined.requests.push_back(request);
+    if (examined.finding == Finding::Alive) {
+        examined.parts.clear();
+        examined.requests = 0;
+    }
+    ++examined.requests;
     if (examined.finding == Finding::Ended) {
-        report(process, examined);
-    } else if (isNew || examined.finding != Finding::Asked) {
+        CrashEvidence::PartPositions late;
+        addParts(late, parts);
+        report(process, service, late, examined.brokenAt);
+        return;
+    }
+    addParts(examined.parts[service], parts);
+    if (isNew || examined.finding != Finding::Asked) {
         examined.address = runner.address;
         examined.brokenAt = m_context.now();
         examined.finding = Finding::Asked;
@@ -95,20 +98,32 @@
     LogLine line("runner-examined");
     line.add("runner", process.runner.value()).add("started_at", process.startedAt);
     line.add("finding", findingName(finding));
-    line.add("requests", static_cast<std::int64_t>(found->second.requests.size()));
+    line.add("requests", static_cast<std::int64_t>(found->second.requests));
     m_context.log.log(line);
     m_context.metrics.count("runners_examined", "finding", findingName(finding));
-    if (finding == Finding::Ended)
-        report(process, found->second);
+    if (finding != Finding::Ended)
+        return;
+    for (const auto& [service, parts] : found->second.parts)
+        report(process, service, parts, found->second.brokenAt);
+}
+
+void CrashWatch::addParts(CrashEvidence::PartPositions& known, const std::vector<PromptPartId>& parts)
+{
+    for (std::uint32_t position = 0; position < parts.size(); ++position) {
+        if (known.size() >= maxParts && !known.contains(parts[position]))
+            continue;
+        std::uint32_t& largest = known[parts[position]];
+        largest = std::max(largest, position);
+    }
 }
 
-void CrashWatch::report(const RunnerProcess& process, const Case& ended)
+void CrashWatch::report(
+    const RunnerProcess& process, const TargetId& service, const CrashEvidence::PartPositions& parts, TimePoint endedAt)
 {
     const RunnerDirectory::Runner* runner = m_context.runners.find(process.runner);
     if (runner && runner->entry.startedAt == process.startedAt && runner->entry.draining)
         return;
-    for (const auto& [service, parts] : ended.requests)
-        m_context.crashEvidence.recordCrash(process, service, parts, ended.brokenAt, m_context.now());
+    m_context.crashEvidence.recordCrashUnder(process, service, parts, endedAt, m_context.now());
 }
 
 bool CrashWatch::hasStartedAgain(const RunnerProcess& process, const std::string& address) const
@@ -143,7 +158,7 @@
         return;
     const auto logPart = [&](std::string_view event, const ServicePart& part, std::size_t crashes) {
         LogLine line(event);
-        line.add("service", part.first.value()).add("part", part.second.value());
+        line.add("service", part.first.value()).add("part", part.second.text());
         line.add("crashes", static_cast<std::int64_t>(crashes));
         m_context.log.log(line);
     };
--- a/packages/gateway/fuchsialb/src/Gateway/CrashWatch.h
+++ b/packages/gateway/fuchsialb/src/Gateway/CrashWatch.h
@@ -44,13 +44,16 @@
         std::string address;
         TimePoint brokenAt {};
         Finding finding = Finding::Asked;
-        /// Services and shared parts of the requests that broke off there.
-        std::vector<std::pair<TargetId, std::vector<PromptPartId>>> requests;
+        /// Shared parts of the requests that broke off there, by their services.
+        std::map<TargetId, CrashEvidence::PartPositions> parts;
+        std::size_t requests = 0;
     };
 
     void ask(const RunnerProcess& process, const std::string& address);
     void settle(const RunnerProcess& process, Finding finding);
-    void report(const RunnerProcess& process, const Case& ended);
+    static void addParts(CrashEvidence::PartPositions& known, const std::vector<PromptPartId>& parts);
+    void report(const RunnerProcess& process, const TargetId& service, const CrashEvidence::PartPositions& parts,
+        TimePoint endedAt);
     /// \return Whether the registry names a later start at the address or under the id.
     bool hasStartedAgain(const RunnerProcess& process, const std::string& address) const;
 
--- a/packages/gateway/fuchsialb/src/Gateway/RequestDispatcher.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/RequestDispatcher.cpp
@@ -141,7 +141,7 @@
     const Duration untilTrial = std::max<Duration>(quarantine->trialAt - now, otherHostRetryAfter);
     isTrial = m_context.hosts.leadsFleet(now) && evidence.beginTrial(service, part, now);
     LogLine line(isTrial ? "quarantine-trial" : "quarantine-applied");
-    m_context.log.log(line.add("request", matched.request.id).add("part", part.value()));
+    m_context.log.log(line.add("request", matched.request.id).add("part", part.text()));
     if (!isTrial)
         refuse(reply, GatewayError::NotRun, matched.request.id, "prompt-quarantined", untilTrial);
     return !isTrial;
--- a/packages/gateway/fuchsialb/src/Gateway/StreamCallRecovery.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/StreamCallRecovery.cpp
@@ -22,11 +22,15 @@
     // A stream with a shorter pause is taken to flow.
     constexpr Duration maxEventGap = std::chrono::milliseconds(250);
 
+    // A prompt may have many parts; the last ones tell it apart best.
+    constexpr std::ptrdiff_t maxLoggedParts = 16;
+
     std::string joined(const std::vector<PromptPartId>& parts)
     {
-        std::string text;
-        for (const PromptPartId& part : parts)
-            text += (text.empty() ? "" : ",") + part.value();
+        const auto first = parts.end() - std::min(std::ssize(parts), maxLoggedParts);
+        std::string text = first == parts.begin() ? "" : "...";
+        for (auto part = first; part != parts.end(); ++part)
+            text += (text.empty() ? "" : ",") + part->text();
         return text;
     }
 
--- a/packages/wire/fuchsialb/src/Wire/PeerMessageDecode.cpp
+++ b/packages/wire/fuchsialb/src/Wire/PeerMessageDecode.cpp
@@ -5,6 +5,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <cmath>
 #include <limits>
 #include <optional>
@@ -339,11 +340,17 @@
         to.process = { in.id<EndpointId>(from.runner(), "crash.runner"), from.started_at() };
         to.service = in.id<TargetId>(from.service(), "crash.service");
         to.age = in.duration(from.age_us(), "crash.age_us");
-        in.require(from.parts_size() <= internal::maxPromptParts, "too many parts of a prompt");
+        to.id = from.id();
+        in.require(from.suspects_size() <= internal::maxPromptParts, "too many parts of a prompt");
+        in.require(from.positions_size() == from.suspects_size() && from.answer_bits_size() == from.suspects_size(),
+            "parts of a prompt without position or answers");
         if (!in.status().ok())
             return to;
-        for (const wire::SuspectPart& part : from.parts())
-            to.parts.push_back({ in.id<PromptPartId>(part.part(), "crash.part"), part.cleared(), part.answer_bits() });
+        for (int i = 0; i < from.suspects_size(); ++i)
+            to.suspects.push_back(
+                { PromptPartId::fromValue(from.suspects(i)), from.positions(i), from.answer_bits(i) });
+        const auto byPart = [](const SuspectPart& a, const SuspectPart& b) { return a.part < b.part; };
+        in.require(std::is_sorted(to.suspects.begin(), to.suspects.end(), byPart), "parts of a prompt out of order");
         return to;
     }
 
--- a/packages/wire/fuchsialb/src/Wire/PeerMessageEncode.cpp
+++ b/packages/wire/fuchsialb/src/Wire/PeerMessageEncode.cpp
@@ -164,11 +164,11 @@
         to.set_started_at(from.process.startedAt);
         to.set_service(from.service.value());
         to.set_age_us(micros(from.age));
-        for (const SuspectPart& part : from.parts) {
-            wire::SuspectPart& added = *to.add_parts();
-            added.set_part(part.part.value());
-            added.set_cleared(part.cleared);
-            added.set_answer_bits(part.answerBits);
+        to.set_id(from.id);
+        for (const SuspectPart& suspect : from.suspects) {
+            to.add_suspects(suspect.part.value());
+            to.add_positions(suspect.position);
+            to.add_answer_bits(suspect.answerBits);
         }
     }
 
--- a/packages/wire/fuchsialb/src/Wire/WireLimits.h
+++ b/packages/wire/fuchsialb/src/Wire/WireLimits.h
@@ -42,7 +42,7 @@
 inline constexpr int maxServices = 1024;
 /// Most crash reports in one beat, and most parts of a prompt in each.
 inline constexpr int maxCrashReports = 1024;
-inline constexpr int maxPromptParts = 64;
+inline constexpr int maxPromptParts = 4096;
 /// Most data centres whose loads travel in one beat.
 inline constexpr int maxRemoteLoads = 64;
 /// Most changes of a prefix of the store in one beat.
--- a/packages/wire/tests/support/PeerMessages.cpp
+++ b/packages/wire/tests/support/PeerMessages.cpp
@@ -97,10 +97,11 @@
         drawn.crashDigest = below(anyNumber);
         for (std::uint64_t i = below(3); i > 0; --i) {
             CrashReport report { { EndpointId(id(below)), static_cast<std::int64_t>(below(anyNumber)) },
-                TargetId(id(below)), {}, duration(below) };
+                TargetId(id(below)), below(anyNumber), {}, duration(below) };
+            std::uint64_t part = 0;
             for (std::uint64_t j = below(4); j > 0; --j)
-                report.parts.push_back(
-                    { PromptPartId(id(below)), below(2) == 1, static_cast<std::uint32_t>(below(32)) });
+                report.suspects.push_back({ PromptPartId::fromValue(part += below(1000)),
+                    static_cast<std::uint32_t>(below(1000)), static_cast<std::uint32_t>(below(32)) });
             drawn.crashes.push_back(std::move(report));
         }
         for (std::uint64_t i = below(3); i > 0; --i) {
