Bound what all responses take together, heads and trailers by their cost

Change: MemoryBudget, an eighth of the machine, for heads, trailers and collected bodies, each line of a head by 256 bytes and twice its length; who holds much is refused more. A head may cost 512 KiB.

--- a/packages/core/fuchsialb/Base.h
+++ b/packages/core/fuchsialb/Base.h
@@ -6,6 +6,7 @@
 #include "src/Base/Clock.h"
 #include "src/Base/Hash.h"
 #include "src/Base/Ids.h"
+#include "src/Base/MemoryBudget.h"
 #include "src/Base/Outcome.h"
 #include "src/Base/PromptPartId.h"
 #include "src/Base/Random.h"
--- a/packages/gateway/fuchsialb/src/Gateway/Gateway.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/Gateway.cpp
@@ -33,7 +33,7 @@
     // For idle connections where the configuration names no time, and for the whole of a request.
     constexpr Duration connectionIdleTimeout = std::chrono::seconds(75);
 
-    // Share of the machine for responses that are collected.
+    // Share of the machine for what runners and the store send and nobody has taken yet.
     constexpr std::int64_t responsesDivisor = 8;
 
     /// Lets the allocator give back what clients held: blocks of bodies are mapped one by one, whatever their history.
@@ -47,11 +47,10 @@
 #endif
     }
 
-    HttpClient::Options clientOptions(const MachineLimits& machine)
+    std::shared_ptr<MemoryBudget> responseBudget(const MachineLimits& machine)
     {
-        HttpClient::Options options;
-        options.maxBodies = std::min(options.maxBodies, Bytes(machine.memory.value() / responsesDivisor));
-        return options;
+        return std::make_shared<MemoryBudget>(
+            std::min(defaultResponseMemory, Bytes(machine.memory.value() / responsesDivisor)));
     }
 
     class SingleLoopGateway final : public Gateway {
@@ -73,7 +72,10 @@
         absl::Status initialize(const StoreFactory& storeFactory)
         {
             limitHeapRetention();
-            auto http = HttpClient::create(clientOptions(m_settings.machine), *m_loop);
+            const auto responseMemory = responseBudget(m_settings.machine);
+            HttpClient::Options options;
+            options.memory = responseMemory;
+            auto http = HttpClient::create(options, *m_loop);
             if (!http.ok())
                 return http.status();
             m_http = *std::move(http);
@@ -84,7 +86,8 @@
                 m_clock.now(), random.unit());
             m_context.emplace(GatewayContext { m_settings, m_translator, *m_loop, m_clock, *m_http, *m_store, m_log,
                 m_metrics, random, ConfigurationInForce(m_settings.keyTrust), {}, {},
-                HostDirectory(m_settings.host, m_settings.dataCentre), {}, {}, std::move(retryBudget), {}, {} });
+                HostDirectory(m_settings.host, m_settings.dataCentre), {}, {}, std::move(retryBudget), {}, {},
+                responseMemory });
             m_requests.emplace(*m_context);
             m_peers.emplace(*m_context,
                 BeatExchange::Hooks { [this](const HostId& from, const DirectoryUpdate& update) {
@@ -325,6 +328,17 @@
             m_requests->endForShutdown();
         }
 
+        void reportResponseMemory()
+        {
+            const MemoryBudget& memory = *m_context->responseMemory;
+            m_metrics.set("response_held_bytes", static_cast<double>(memory.used().value()));
+            m_metrics.set("response_memory_refusals", static_cast<double>(memory.refusals()));
+            if (std::exchange(m_memoryRefusals, memory.refusals()) != memory.refusals())
+                m_log.log(LogLine("response-memory-refused")
+                              .add("held_bytes", memory.used().value())
+                              .add("refusals", static_cast<std::int64_t>(memory.refusals())));
+        }
+
         void runMaintenance()
         {
             m_placement->tick();
@@ -333,6 +347,7 @@
             applyCallerLimits();
             m_metrics.set("client_held_bytes", static_cast<double>(m_clients->held().value()));
             m_metrics.set("client_connections", static_cast<double>(m_clients->connections()));
+            reportResponseMemory();
             m_metrics.set("open_requests", static_cast<double>(m_requests->openCount()));
             m_metrics.set("waiting_requests", static_cast<double>(m_context->admissionQueue.size()));
             m_metrics.set("runners", static_cast<double>(m_context->runners.runners().size()));
@@ -363,6 +378,8 @@
         std::optional<RequestDispatcher> m_requests;
         std::optional<PeerExchange> m_peers;
         std::optional<StoreSession> m_storeSession;
+        /// As reported last.
+        std::uint64_t m_memoryRefusals = 0;
         std::optional<PlacementCoordinator> m_placement;
         std::shared_ptr<ClientAccount> m_clients;
         CallerLimits m_callerLimits;
--- a/packages/gateway/fuchsialb/src/Gateway/GatewayContext.h
+++ b/packages/gateway/fuchsialb/src/Gateway/GatewayContext.h
@@ -7,6 +7,7 @@
 #include <asio/io_context.hpp>
 
 #include <functional>
+#include <memory>
 
 namespace fuchsialb {
 
@@ -32,6 +33,8 @@
     SharedRetryBudget retryBudget;
     LinkBudget linkBudget;
     AdmissionQueue admissionQueue;
+    /// For what runners and the store send and nobody has taken yet.
+    std::shared_ptr<MemoryBudget> responseMemory = std::make_shared<MemoryBudget>(defaultResponseMemory);
     /// Limits on requests that runners have named, and what this host may send to these runners.
     RequestRateLimits rateLimits {};
     RequestRateAdmission rateAdmission { random.unit() };
--- a/packages/net/fuchsialb/src/Net/AsioCurlClient.cpp
+++ b/packages/net/fuchsialb/src/Net/AsioCurlClient.cpp
@@ -18,11 +18,11 @@
 } // namespace
 
 AsioCurlClient::AsioCurlClient(Options options, asio::io_context& context)
-    : m_options(options)
+    : m_options(std::move(options))
     , m_context(context)
     , m_timer(context)
     , m_multi(curl_multi_init())
-    , m_bodies(std::make_shared<BodyBudget>(BodyBudget { static_cast<std::size_t>(options.maxBodies.value()) }))
+    , m_memory(m_options.memory ? m_options.memory : std::make_shared<MemoryBudget>(defaultResponseMemory))
 {
 }
 
@@ -57,7 +57,7 @@
         return error(Reason::QueueFull, "the HTTP client has no room for another exchange");
     const HttpExchangeId id(++m_lastId);
     auto exchange = std::make_unique<CurlExchange>(
-        id, std::move(request), std::move(handlers), m_options.maxBody, m_bodies, m_connections);
+        id, std::move(request), std::move(handlers), m_options.maxBody, m_memory, m_connections);
     bool added = exchange->prepare();
     if (added) {
         curl_easy_setopt(exchange->handle(), CURLOPT_OPENSOCKETFUNCTION, &AsioCurlClient::openSocket);
--- a/packages/net/fuchsialb/src/Net/AsioCurlClient.h
+++ b/packages/net/fuchsialb/src/Net/AsioCurlClient.h
@@ -62,7 +62,7 @@
     asio::io_context& m_context;
     asio::steady_timer m_timer;
     CURLM* m_multi;
-    std::shared_ptr<BodyBudget> m_bodies;
+    std::shared_ptr<MemoryBudget> m_memory;
     KeptConnections m_connections;
     std::map<curl_socket_t, std::shared_ptr<Socket>> m_sockets;
     std::map<HttpExchangeId, std::unique_ptr<CurlExchange>> m_exchanges;
--- a/packages/net/fuchsialb/src/Net/CurlExchange.cpp
+++ b/packages/net/fuchsialb/src/Net/CurlExchange.cpp
@@ -26,10 +26,11 @@
     constexpr int probeIntervalSeconds = 1;
     constexpr int probeCount = 2;
 
-    // Over all heads of a response, interim ones included.
-    constexpr std::size_t maxResponseHeaderBytes = 262'144;
-    // An exchange that has collected less than this share of the budget is not the one that exhausts it.
-    constexpr std::size_t bodyBudgetShare = 16;
+    // Over all heads of a response, interim ones and trailers included.
+    constexpr Bytes maxHeaderCost { 524'288 };
+    // Memory of a line of a head beside its text. Both this client and curl keep each line.
+    constexpr std::int64_t headerLineCost = 256;
+    constexpr std::int64_t headerLineCopies = 2;
 
     bool watchForSilentPeer(curl_socket_t socket)
     {
@@ -98,21 +99,20 @@
 } // namespace
 
 CurlExchange::CurlExchange(HttpExchangeId id, HttpRequest request, HttpHandlers handlers, Bytes maxBody,
-    std::shared_ptr<BodyBudget> bodies, KeptConnections& connections)
+    std::shared_ptr<MemoryBudget> memory, KeptConnections& connections)
     : m_id(id)
     , m_request(std::move(request))
     , m_handlers(std::move(handlers))
     , m_maxBody(static_cast<std::size_t>(maxBody.value()))
     , m_easy(curl_easy_init())
     , m_lastArrival(SystemClock().now())
-    , m_bodies(std::move(bodies))
+    , m_memory(std::move(memory))
     , m_connections(connections)
 {
 }
 
 CurlExchange::~CurlExchange()
 {
-    m_bodies->used -= m_collected;
     curl_easy_cleanup(m_easy);
     curl_slist_free_all(m_headers);
 }
@@ -254,11 +254,9 @@
 bool CurlExchange::takeHeaderLine(std::string_view line)
 {
     m_lastArrival = SystemClock().now();
-    m_headerBytes += line.size();
-    if (m_headerBytes > maxResponseHeaderBytes) {
-        m_tooLarge = true;
+    m_tooLarge = !chargeHeaderLine(line);
+    if (m_tooLarge)
         return false;
-    }
     if (line.starts_with("HTTP/"))
         return beginHead();
     // Fields after the body have no part in how a response is taken.
@@ -278,6 +276,13 @@
     return !m_isMalformed;
 }
 
+bool CurlExchange::chargeHeaderLine(std::string_view line)
+{
+    const Bytes cost(headerLineCost + headerLineCopies * static_cast<std::int64_t>(line.size()));
+    m_headerCost += cost;
+    return m_headerCost <= maxHeaderCost && m_memory.tryTake(cost);
+}
+
 bool CurlExchange::beginHead()
 {
     // curl takes a status line inside a head, or after the body, for one more head.
@@ -318,12 +323,11 @@
         m_handlers.onPiece(piece);
         return true;
     }
-    m_tooLarge = !mayCollect(piece.size());
+    m_tooLarge = m_response.body.size() + piece.size() > m_maxBody
+        || !m_memory.tryTake(Bytes(static_cast<std::int64_t>(piece.size())));
     if (m_tooLarge)
         return false;
     m_response.body.append(piece);
-    m_collected += piece.size();
-    m_bodies->used += piece.size();
     return true;
 }
 
@@ -336,18 +340,6 @@
     return hasNoBody || m_bodyBytes == m_framing.contentLength().value_or(m_bodyBytes);
 }
 
-bool CurlExchange::mayCollect(std::size_t size) const
-{
-    if (m_response.body.size() + size > m_maxBody)
-        return false;
-    const std::size_t used = m_bodies->used + size;
-    if (used <= m_bodies->limit)
-        return true;
-    // The share falls with what is left up to twice the budget, so that many exchanges don't exceed that together.
-    const std::size_t left = 2 * m_bodies->limit - std::min(2 * m_bodies->limit, used);
-    return m_collected < left / bodyBudgetShare;
-}
-
 bool CurlExchange::wroteNothing() const
 {
     // Counts over all connections that curl used for the request.
--- a/packages/net/fuchsialb/src/Net/CurlExchange.h
+++ b/packages/net/fuchsialb/src/Net/CurlExchange.h
@@ -10,19 +10,13 @@
 
 namespace fuchsialb::internal {
 
-/// \brief Bytes of the bodies that the exchanges of a client are collecting.
-struct BodyBudget {
-    std::size_t limit = 0;
-    std::size_t used = 0;
-};
-
 /// \brief One exchange of the HTTP client: its easy handle, what arrived so far and its handlers.
 ///
 /// Used on the client's thread only.
 class CurlExchange {
 public:
     CurlExchange(HttpExchangeId id, HttpRequest request, HttpHandlers handlers, Bytes maxBody,
-        std::shared_ptr<BodyBudget> bodies, KeptConnections& connections);
+        std::shared_ptr<MemoryBudget> memory, KeptConnections& connections);
     ~CurlExchange();
 
     CurlExchange(const CurlExchange&) = delete;
@@ -64,7 +58,9 @@
     bool isOwnResponse();
     /// \return Whether the body is as long as the head says.
     bool isWhole() const;
-    bool mayCollect(std::size_t size) const;
+    /// Counts what a line of a head or trailer costs.
+    /// \return Whether it is within the limits.
+    bool chargeHeaderLine(std::string_view line);
     bool takeBody(std::string_view piece);
     bool mayBeSentAgain() const;
     bool wroteNothing() const;
@@ -82,14 +78,13 @@
     HttpResponse m_response;
     TimePoint m_lastArrival;
     std::uint32_t m_sends = 0;
-    std::shared_ptr<BodyBudget> m_bodies;
+    MemoryShare m_memory;
     KeptConnections& m_connections;
     /// The socket that was opened for the next request.
     curl_socket_t m_openedSocket = CURL_SOCKET_BAD;
     bool m_hasStrayInput = false;
-    /// What this exchange uses of the budget.
-    std::size_t m_collected = 0;
-    std::size_t m_headerBytes = 0;
+    /// Of all heads of a response, interim ones and trailers included, by what they cost.
+    Bytes m_headerCost { 0 };
     bool m_tooLarge = false;
     BodyFraming m_framing;
     std::uint64_t m_bodyBytes = 0;
--- a/packages/net/fuchsialb/src/Net/HttpClient.cpp
+++ b/packages/net/fuchsialb/src/Net/HttpClient.cpp
@@ -32,10 +32,9 @@
     class CurlClient final : public HttpClient {
     public:
         explicit CurlClient(Options options)
-            : m_options(options)
+            : m_options(std::move(options))
             , m_multi(curl_multi_init())
-            , m_bodies(std::make_shared<internal::BodyBudget>(
-                  internal::BodyBudget { static_cast<std::size_t>(options.maxBodies.value()) }))
+            , m_memory(m_options.memory ? m_options.memory : std::make_shared<MemoryBudget>(defaultResponseMemory))
         {
         }
 
@@ -73,7 +72,7 @@
                 ++m_pending;
                 id = HttpExchangeId(++m_lastId);
                 m_commands.emplace_back(std::make_unique<internal::CurlExchange>(
-                    id, std::move(request), std::move(handlers), m_options.maxBody, m_bodies, m_connections));
+                    id, std::move(request), std::move(handlers), m_options.maxBody, m_memory, m_connections));
             }
             curl_multi_wakeup(m_multi);
             return id;
@@ -245,7 +244,7 @@
 
         const Options m_options;
         CURLM* const m_multi;
-        const std::shared_ptr<internal::BodyBudget> m_bodies;
+        const std::shared_ptr<MemoryBudget> m_memory;
         internal::KeptConnections m_connections;
         std::atomic<bool> m_stopping = false;
 
@@ -266,7 +265,7 @@
 absl::StatusOr<std::unique_ptr<HttpClient>> HttpClient::create(Options options)
 {
     initialiseCurl();
-    auto client = std::make_unique<CurlClient>(options);
+    auto client = std::make_unique<CurlClient>(std::move(options));
     if (!client->run())
         return error(Reason::Internal, "curl could not be initialised");
     return client;
@@ -275,7 +274,7 @@
 absl::StatusOr<std::unique_ptr<HttpClient>> HttpClient::create(Options options, asio::io_context& context)
 {
     initialiseCurl();
-    auto client = std::make_unique<internal::AsioCurlClient>(options, context);
+    auto client = std::make_unique<internal::AsioCurlClient>(std::move(options), context);
     if (!client->prepare())
         return error(Reason::Internal, "curl can't be initialised");
     return client;
--- a/packages/net/fuchsialb/src/Net/HttpClient.h
+++ b/packages/net/fuchsialb/src/Net/HttpClient.h
@@ -50,7 +50,7 @@
 /// \brief How far an exchange got, for proofs that nothing ran.
 struct HttpFailure {
     /// `ConnectFailed`, `ConnectionLost`, `ConnectionSilent`, `Timeout`, `Cancelled`, `EndpointFailed` or
-    /// `BodyTooLarge`, which also stands for headers without end.
+    /// `BodyTooLarge`, which also stands for headers without end and for memory that the budget refuses.
     absl::Status status;
     /// No byte of the request was written to a socket.
     bool notSent = false;
@@ -58,6 +58,9 @@
     bool refused = false;
 };
 
+/// For the responses of a client that is given no other budget.
+inline constexpr Bytes defaultResponseMemory { 50'331'648 };
+
 using HttpExchangeId = internal::StrongId<struct HttpExchangeTag, std::uint64_t>;
 
 /// \brief Callbacks of one exchange; all run on the client's own thread.
@@ -82,10 +85,10 @@
         /// Most exchanges that wait or run at once.
         std::size_t capacity = 16384;
         Bytes maxBody { 16'777'216 };
-        /// Bytes of the bodies that are being collected, over all exchanges. Beyond it, an exchange fails when more
-        /// arrives and it has collected a sixteenth or more of what is left up to twice of it; the sum stays below
-        /// that.
-        Bytes maxBodies { 50'331'648 };
+        /// For the heads of all responses, their trailers and the bodies that are being collected, by what they cost;
+        /// an exchange that is refused more of it fails. Used on the client's thread; one of `defaultResponseMemory` if
+        /// empty.
+        std::shared_ptr<MemoryBudget> memory {};
     };
 
     static absl::StatusOr<std::unique_ptr<HttpClient>> create(Options options);
--- a/packages/net/tests/ResponseFramingTest.cpp
+++ b/packages/net/tests/ResponseFramingTest.cpp
@@ -261,7 +261,7 @@
 {
     HttpClient::Options options;
     options.maxBody = Bytes(1'000'000);
-    options.maxBodies = Bytes(2'000'000);
+    options.memory = std::make_shared<MemoryBudget>(Bytes(2'000'000));
     auto client = *HttpClient::create(options);
     RawSocket listener = RawSocket::bound();
     listener.listen();
@@ -300,3 +300,55 @@
         }
     }
 }
+
+// Guards against heads of very many short fields, whose cost is many times their size, at many exchanges at once.
+SCENARIO("heads and trailers are counted by what they cost, over all exchanges")
+{
+    const Bytes limit { 2'000'000 };
+    HttpClient::Options options;
+    options.memory = std::make_shared<MemoryBudget>(limit);
+    auto client = *HttpClient::create(options);
+    RawSocket listener = RawSocket::bound();
+    listener.listen();
+
+    GIVEN("exchanges whose heads or trailers consist of short fields without end")
+    {
+        const std::string beginning = GENERATE(as<std::string>(), "HTTP/1.1 200 OK\r\n",
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n");
+        std::string fields;
+        for (int i = 0; i < 200; ++i)
+            fields += "a:b\r\n";
+        std::vector<Call> calls;
+        std::vector<RawSocket> connections;
+        for (int i = 0; i < 40; ++i) {
+            calls.push_back(startCall(*client, request("GET", listener.port(), "/")));
+            connections.push_back(listener.accept());
+            connections.back().receiveRequest();
+            connections.back().send(beginning);
+        }
+
+        WHEN("all of them keep sending")
+        {
+            for (int round = 0; round < 7; ++round) {
+                for (RawSocket& connection : connections)
+                    connection.send(fields);
+            }
+            Call last = startCall(*client, request("GET", listener.port(), "/"));
+            RawSocket connection = listener.accept();
+            connection.receiveRequest();
+            connection.send("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello");
+
+            THEN("a short response is served, and most of the others have failed for their size")
+            {
+                CHECK(await(last.ending).response);
+                for (RawSocket& open : connections)
+                    open.close();
+                std::size_t tooLarge = 0;
+                for (Call& call : calls)
+                    tooLarge += await(call.ending).reason() == Reason::BodyTooLarge ? 1 : 0;
+                // Each has sent 1,400 fields, which take more than a third of a megabyte.
+                CHECK(tooLarge >= 28);
+            }
+        }
+    }
+}
