Count unfinished events and kept errors in the memory of responses

Cause: each stream may hold 1 MiB of an event that isn't complete, and each plain request the body of an error until its retry is answered; nothing bounded their sum.

Change: both take their share of MemoryBudget. A stream that is refused more is ended and resumed elsewhere; an error that is refused isn't kept, and is passed on at once if no other run is open.

Measured: the tests of streams and plain requests pass.

--- a/packages/gateway/fuchsialb/src/Gateway/StreamCall.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/StreamCall.cpp
@@ -42,6 +42,7 @@
     , m_owner(std::move(owner))
     , m_probation(context, m_owner.crashWatch, m_matched.service->name, m_matched.request.sharedParts, isTrial)
     , m_pauseWatch(context, m_matched)
+    , m_eventMemory(context.responseMemory)
     , m_lastEventId(m_matched.request.lastEventId)
     , m_history(m_matched.route->maxAttempts)
     , m_timeliness(m_matched.receivedAt, m_matched.route->latencyObjective, m_matched.route->pauseObjective)
--- a/packages/gateway/fuchsialb/src/Gateway/StreamCall.h
+++ b/packages/gateway/fuchsialb/src/Gateway/StreamCall.h
@@ -71,6 +71,8 @@
     /// \return The open run with a number, current or former; null if it has ended.
     StreamRun* openRun(std::uint32_t number);
     bool isFormer(const StreamRun& run) const { return &run != &m_run; }
+    /// \return Whether the bytes of a run aren't a stream of events, or take more memory than there is for them.
+    bool isUnreadable(const StreamRun& run);
     /// \return Whether the response is authentic, so that its body is to be read.
     bool handleHead(StreamRun& run, const HttpResponse& head);
     /// Applies what the runner says of itself in the response to the current run, once.
@@ -195,6 +197,8 @@
     StreamRun m_run;
     /// The run before the current one, which may still go on until that one has sent an event.
     std::optional<StreamRun> m_former;
+    /// For events of both runs that aren't complete.
+    MemoryShare m_eventMemory;
     /// Number of runs so far.
     std::uint32_t m_runs = 0;
     bool m_mayHaveRun = false;
--- a/packages/gateway/fuchsialb/src/Gateway/StreamCallResponses.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/StreamCallResponses.cpp
@@ -14,12 +14,6 @@
     constexpr std::size_t maxUnsentBytes = 1'048'576;
     constexpr std::uint32_t statusMisdirectedRequest = 421;
 
-    /// \return Whether the bytes of a run aren't a stream of events.
-    bool isUnreadable(const EventSplitter& splitter)
-    {
-        return splitter.isInvalid() || splitter.bufferedSize() > maxEventBytes;
-    }
-
     /// \return Whether the end of the response shows other than by the end of its connection.
     bool isFramed(const HttpResponse& response)
     {
@@ -71,6 +65,14 @@
         recordRunnerNotices(m_context, { run.path.front().runner, run.first.startedAt }, response, status, run.sentAt);
 }
 
+bool StreamCall::isUnreadable(const StreamRun& run)
+{
+    const std::size_t former = m_former ? m_former->splitter.bufferedSize() : 0;
+    const std::size_t buffered = m_run.splitter.bufferedSize() + former;
+    return run.splitter.isInvalid() || run.splitter.bufferedSize() > maxEventBytes
+        || !m_eventMemory.tryResize(Bytes(static_cast<std::int64_t>(buffered)));
+}
+
 bool StreamCall::handleHead(StreamRun& run, const HttpResponse& head)
 {
     const RunnerResponse runnerResponse = m_context.translator.runnerResponse(head);
@@ -91,7 +93,7 @@
         events.push_back(*std::move(event));
     if (isFormer(run)) {
         if (events.empty()) {
-            if (isUnreadable(run.splitter))
+            if (isUnreadable(run))
                 cancelFormerRun();
             return;
         }
@@ -103,7 +105,7 @@
     }
     handleEvents(events);
     // The caller may have left on the way.
-    if (isFinished() || !m_run.exchange || !isUnreadable(m_run.splitter))
+    if (isFinished() || !m_run.exchange || !isUnreadable(m_run))
         return;
     // The exchange then fails, and with it the run.
     m_run.isInvalid = true;
--- a/packages/gateway/fuchsialb/src/Gateway/UnaryCall.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/UnaryCall.cpp
@@ -136,9 +136,11 @@
     }
     if (target.isHedge)
         countHedge("failed");
-    if (isAnswer)
-        m_errorResponse = std::move(response);
-    else
+    if (isAnswer && !keepError(response) && m_openRuns.empty()) {
+        forward(std::move(response));
+        return;
+    }
+    if (!isAnswer)
         m_context.runners.recordFailure(target.endpoint, now, failureSuspension);
     if (!isRefused) {
         m_mayHaveRun = true;
@@ -152,6 +154,14 @@
     respondWithoutAnswer(isRefused ? "refused-by-endpoint" : "answer-not-the-endpoints");
 }
 
+bool UnaryCall::keepError(HttpResponse& response)
+{
+    if (!m_errorMemory.tryResize(Bytes(static_cast<std::int64_t>(response.body.size()))))
+        return false;
+    m_errorResponse = std::move(response);
+    return true;
+}
+
 void UnaryCall::handleFailure(const UnaryRun& run, const HttpFailure& failure)
 {
     const TimePoint now = m_context.now();
--- a/packages/gateway/fuchsialb/src/Gateway/UnaryCall.h
+++ b/packages/gateway/fuchsialb/src/Gateway/UnaryCall.h
@@ -32,6 +32,9 @@
     bool startRun(const RunnerDirectory::Runner& endpoint, bool isHedge);
     void handleResponse(const UnaryRun& run, HttpResponse response);
     void handleFailure(const UnaryRun& run, const HttpFailure& failure);
+    /// Keeps a server error while others may still answer.
+    /// \return Whether there is memory for it; otherwise one that was kept before stays.
+    bool keepError(HttpResponse& response);
     /// Takes a run that has ended out of the open ones; its endpoint isn't chosen again.
     void closeRun(const UnaryRun& run);
     /// Sends the request to a second endpoint, beside the first one, if the answer is slow and nothing speaks against
@@ -64,6 +67,7 @@
     std::set<EndpointId> m_rateLimited;
     /// A server error from an endpoint, forwarded if the retry fails as well.
     std::optional<HttpResponse> m_errorResponse;
+    MemoryShare m_errorMemory { m_context.responseMemory };
 };
 
 } // namespace fuchsialb
