Let the ends of later stages be evidence against a part of a prompt, too

A trial of a quarantined part was repeated until its deadline, since the first runner said that it hadn't run.

Change: stages that are silent or lost before the first answer are examined; lost stages on two paths end the search for a third one while the request may be the reason, on one path if it is a trial, which a runner's end also ends.

--- a/packages/gateway/fuchsialb/src/Gateway/PromptProbation.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/PromptProbation.cpp
@@ -10,6 +10,8 @@
     constexpr std::uint32_t answeredEvents = 3;
     // A healthy request that was twice at a runner ended by another one is less likely than one that ended both.
     constexpr std::ptrdiff_t maxEndedRunners = 2;
+    // A healthy request may lose a stage of its path by chance.
+    constexpr std::size_t maxLostPaths = 1;
 
 } // namespace
 
@@ -23,10 +25,22 @@
 {
 }
 
-void PromptProbation::startRun(const RunnerEntry& first)
+void PromptProbation::startRun(const RunnerEntry& first, const Path& path)
 {
     m_first = first;
     m_events = 0;
+    recordPathChange(path);
+}
+
+void PromptProbation::recordPathChange(const Path& path)
+{
+    ++m_paths;
+    if (m_isAnswered)
+        return;
+    for (const PathStage& stage : path) {
+        if (const RunnerDirectory::Runner* runner = m_context.runners.find(stage.runner))
+            m_stages.insert_or_assign(stage.runner, runner->entry);
+    }
 }
 
 void PromptProbation::recordEvent(TimePoint now)
@@ -59,14 +73,39 @@
     m_crashWatch.examine(m_first, m_service, m_parts);
 }
 
+void PromptProbation::recordLostStage(const EndpointId& stage)
+{
+    const auto found = m_stages.find(stage);
+    if (m_isAnswered || found == m_stages.end())
+        return;
+    const RunnerEntry& entry = found->second;
+    if (m_lostStages.emplace(RunnerProcess { entry.id, entry.startedAt }, m_paths).second)
+        m_crashWatch.examine(entry, m_service, m_parts);
+}
+
+bool PromptProbation::mayHaveEnded(const RunnerProcess& process) const
+{
+    return m_crashWatch.finding(process) == CrashWatch::Finding::Asked
+        || m_context.crashEvidence.isSuspect(process, m_service, m_parts);
+}
+
 bool PromptProbation::isSuspect() const
+{
+    return !m_isAnswered && std::any_of(m_broken.begin(), m_broken.end(), [&](const RunnerProcess& process) {
+        return mayHaveEnded(process);
+    });
+}
+
+bool PromptProbation::mayEndFurtherStages() const
 {
     if (m_isAnswered)
         return false;
-    return std::any_of(m_broken.begin(), m_broken.end(), [&](const RunnerProcess& process) {
-        return m_crashWatch.finding(process) == CrashWatch::Finding::Asked
-            || m_context.crashEvidence.isSuspect(process, m_service, m_parts);
-    });
+    std::set<std::uint32_t> paths;
+    for (const auto& [process, path] : m_lostStages) {
+        if (mayHaveEnded(process))
+            paths.insert(path);
+    }
+    return paths.size() > (m_isTrial ? 0 : maxLostPaths);
 }
 
 bool PromptProbation::hasEndedTooMany() const
@@ -76,9 +115,19 @@
     }) >= maxEndedRunners;
 }
 
+bool PromptProbation::hasEndedRunner() const
+{
+    const auto isEnded
+        = [&](const RunnerProcess& process) { return m_crashWatch.finding(process) == CrashWatch::Finding::Ended; };
+    return std::any_of(m_broken.begin(), m_broken.end(), isEnded)
+        || std::any_of(m_lostStages.begin(), m_lostStages.end(), [&](const auto& lost) { return isEnded(lost.first); });
+}
+
 bool PromptProbation::isQuarantined() const
 {
-    return !m_isAnswered && !m_isTrial && m_context.crashEvidence.quarantine(m_service, m_parts) != nullptr;
+    // A trial that has ended a runner has its outcome.
+    const bool mayRun = m_isAnswered || (m_isTrial && !hasEndedRunner());
+    return !mayRun && m_context.crashEvidence.quarantine(m_service, m_parts) != nullptr;
 }
 
 } // namespace fuchsialb
--- a/packages/gateway/fuchsialb/src/Gateway/PromptProbation.h
+++ b/packages/gateway/fuchsialb/src/Gateway/PromptProbation.h
@@ -3,6 +3,7 @@
 #include "CrashWatch.h"
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <set>
 
@@ -20,22 +21,33 @@
         const std::vector<PromptPartId>& parts, bool isTrial);
 
     /// Records the start of a run at a first runner.
-    void startRun(const RunnerEntry& first);
+    void startRun(const RunnerEntry& first, const Path& path);
     void recordEvent(TimePoint now);
     /// Records that a run has ended with a complete answer.
     void recordComplete(TimePoint now);
     /// Records that the run broke off.
     void recordBroken();
+    /// Records that a stage of the run's path was lost.
+    void recordLostStage(const EndpointId& stage);
+    /// Records that the run goes on by another path.
+    void recordPathChange(const Path& path);
     bool isAnswered() const { return m_isAnswered; }
     /// \return Whether the request may, for all that is known, be the reason for which a runner ended.
     bool isSuspect() const;
     /// \return Whether the number of runners that ended under the request, without an answer, is too large for another.
     bool hasEndedTooMany() const;
+    /// \return Whether the request may be the reason for which stages of several of its paths were lost; of one, if it
+    ///     is a trial.
+    bool mayEndFurtherStages() const;
     /// \return Whether a part of the prompt is quarantined and the request has not been answered.
     bool isQuarantined() const;
 
 private:
     void recordAnswer(TimePoint now);
+    /// \return Whether the request may be the reason for the end of a runner.
+    bool mayHaveEnded(const RunnerProcess& process) const;
+    /// \return Whether a runner of the request was found to have ended.
+    bool hasEndedRunner() const;
 
     GatewayContext& m_context;
     CrashWatch& m_crashWatch;
@@ -48,6 +60,12 @@
     bool m_isTrial;
     /// Runners at which a run broke off.
     std::set<RunnerProcess> m_broken;
+    /// Number of paths of all runs so far.
+    std::uint32_t m_paths = 0;
+    /// Stages of all these paths, as they were then.
+    std::map<EndpointId, RunnerEntry> m_stages;
+    /// Stages that were lost, with the path on which they were.
+    std::map<RunnerProcess, std::uint32_t> m_lostStages;
 };
 
 } // namespace fuchsialb
--- a/packages/gateway/fuchsialb/src/Gateway/StreamCall.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/StreamCall.cpp
@@ -230,7 +230,7 @@
     if (const RunnerDirectory::Runner* first = m_context.runners.find(m_run.path.front().runner)) {
         m_run.first = first->entry;
         m_history.recordRun(m_run.first);
-        m_probation.startRun(m_run.first);
+        m_probation.startRun(m_run.first, m_run.path);
     }
     reservePath();
     m_pauseWatch.startRun();
--- a/packages/gateway/fuchsialb/src/Gateway/StreamCallRecovery.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/StreamCallRecovery.cpp
@@ -98,7 +98,7 @@
     m_nextReplacementAt = now + replacementInterval;
     // A stream that has stopped must not keep others from the room that they need to go on, nor itself.
     cancelReservation();
-    if (!mayRunAgain() || !tryTakeRetry(now))
+    if (!mayRunAgain() || m_probation.mayEndFurtherStages() || !tryTakeRetry(now))
         return;
     // A runner can't tell two runs of one request from each other, so the run at the same one has to end first.
     const EndpointId first = m_run.path.front().runner;
@@ -133,7 +133,7 @@
     m_run = *std::exchange(m_former, std::nullopt);
     m_history.keepLast();
     m_nextReplacementAt = m_context.now() + replacementInterval;
-    m_probation.startRun(m_run.first);
+    m_probation.startRun(m_run.first, m_run.path);
     m_pauseWatch.startRun();
     if (exchange)
         m_context.http.cancel(*exchange);
@@ -288,6 +288,7 @@
         return;
     for (const EndpointId& stage : stages) {
         recordSuspicion(stage);
+        m_probation.recordLostStage(stage);
         m_run.repair.add(stage, true);
     }
     m_timeliness.recordReason("stage-silent", stages.begin()->value());
@@ -298,7 +299,10 @@
 void StreamCall::runnerLost(const EndpointId& runner)
 {
     const TimePoint now = m_context.now();
-    if (!isOnPath(runner) || isFinished() || !m_run.exchange || isFlowing(now))
+    if (!isOnPath(runner) || isFinished() || !m_run.exchange)
+        return;
+    m_probation.recordLostStage(runner);
+    if (isFlowing(now))
         return;
     // Each stream that waits for the runner reports it, and one report is enough.
     if (m_run.repair.deadStages().contains(runner))
@@ -323,7 +327,7 @@
 {
     m_nextRerouteAt = now + rerouteRetryInterval;
     const RunnerDirectory::Runner* first = m_context.runners.find(m_run.path.front().runner);
-    if (!m_matched.service->engine || (first && first->resting(now)))
+    if (!m_matched.service->engine || (first && first->resting(now)) || m_probation.mayEndFurtherStages())
         return false;
     const PathFinder finder(m_context.runners, m_context.ledger, m_pauseWatch.pace());
     std::set<EndpointId> replaced = m_run.repair.stages();
@@ -382,6 +386,7 @@
     logPathChange(replaced, result);
     if (result.outcome == OrderOutcome::Begun || result.outcome == OrderOutcome::Done) {
         m_run.repair.recordDone(replaced);
+        m_probation.recordPathChange(m_run.path);
         m_run.hasEventOnPath = false;
         // Restart stall detection, since the new stages process all previous tokens before the next event.
         m_run.stallDetector.emplace(StallDetector::Limits {}, m_context.now());
--- a/packages/gateway/fuchsialb/src/Gateway/StreamCallResponses.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/StreamCallResponses.cpp
@@ -292,9 +292,9 @@
 void StreamCall::handleFormerFailure(const HttpFailure& failure)
 {
     if (!failure.notSent) {
-        m_probation.startRun(m_former->first);
+        m_probation.startRun(m_former->first, m_former->path);
         m_probation.recordBroken();
-        m_probation.startRun(m_run.first);
+        m_probation.startRun(m_run.first, m_run.path);
     }
     recordFailure(m_former->path.front().runner, reasonName(reasonOf(failure.status)), brokenStreamSuspension);
     m_former.reset();
