--- a/packages/core/fuchsialb/src/Base/PromptPartId.cpp
+++ b/packages/core/fuchsialb/src/Base/PromptPartId.cpp
@@ -46,7 +46,7 @@
 
 std::string PromptPartId::text() const
 {
-    const int highest = std::bit_width(m_value) - 1;
+    const int highest = static_cast<int>(std::bit_width(m_value)) - 1;
     if (highest <= 0 || highest % bitsPerDigit != 0)
         return fmt::format("#{:016x}", m_value);
     const std::uint64_t digits = m_value ^ (std::uint64_t(1) << highest);
