--- a/packages/core/fuchsialb/src/Fleet/Beats/BeatExchange.h
+++ b/packages/core/fuchsialb/src/Fleet/Beats/BeatExchange.h
@@ -115,7 +115,7 @@
         /// The last beat of the peer has asked for a copy of a newer configuration.
         bool wantsConfiguration = false;
         TimePoint configurationSentAt {};
-        /// Digest of the crash reports that the peer has, and of those of this host in the last beat to it.
+        /// Digest of the crash reports that the peer has.
         std::uint64_t crashDigest = 0;
         /// Reports of crashes that had been added when the last beat was sent.
         std::uint64_t crashesSent = 0;
