Free what is known of the stages of a request once it is answered

Cause: each open stream kept the entries of all stages of its paths to its end, although they count only until the first answer.

Change: they are freed with the answer. Memory not measured.

--- a/packages/gateway/fuchsialb/src/Gateway/PromptProbation.cpp
+++ b/packages/gateway/fuchsialb/src/Gateway/PromptProbation.cpp
@@ -62,6 +62,8 @@
 void PromptProbation::recordAnswer(TimePoint now)
 {
     m_isAnswered = true;
+    m_stages.clear();
+    m_lostStages.clear();
     m_context.crashEvidence.recordAnswer(m_service, m_parts, m_firstEventAt, now);
 }
 
